--- /dev/null
+++ b/crates/balsamctl/src/files.rs
@@ -0,0 +1,78 @@
+//! Commands that work on questionnaires and configurations.
+
+use std::{path::PathBuf, process::ExitCode};
+
+use base::id;
+use config::{
+    deployment::{Deployment, SIZE_LIMIT},
+    diff, explain, questionnaire,
+};
+use eyre::{OptionExt, WrapErr};
+
+use crate::Format;
+
+pub(crate) fn generate(path: &PathBuf, output: Option<&PathBuf>) -> eyre::Result<ExitCode> {
+    let deployment = read_questionnaire(path)?;
+    let bytes = deployment.to_bytes();
+    let size = bytes.len();
+    eyre::ensure!(size <= SIZE_LIMIT, "the configuration has {size} bytes, allowed {SIZE_LIMIT}");
+    match output {
+        Some(output) => {
+            std::fs::write(output, bytes).wrap_err_with(|| output.display().to_string())?;
+        }
+        None => print!("{}", String::from_utf8(bytes)?),
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+pub(crate) fn check(path: &PathBuf) -> eyre::Result<ExitCode> {
+    let deployment = read(path)?;
+    let servers: usize =
+        deployment.services.iter().flat_map(|s| &s.groups).map(|g| g.servers.len()).sum();
+    println!(
+        "{}: generation {} of {}, {} services, {servers} servers, {} classes, {} sets of callers",
+        path.display(),
+        deployment.generation,
+        deployment.name,
+        deployment.services.len(),
+        deployment.classes.len(),
+        deployment.callers.len(),
+    );
+    Ok(ExitCode::SUCCESS)
+}
+
+pub(crate) fn diff(old: &PathBuf, new: &PathBuf, format: Format) -> eyre::Result<ExitCode> {
+    let lines = diff::lines(&read(old)?, &read(new)?);
+    match format {
+        Format::Json => println!("{}", serde_json::to_string_pretty(&lines)?),
+        Format::Text if lines.is_empty() => println!("no change"),
+        Format::Text => lines.iter().for_each(|line| println!("{line}")),
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+pub(crate) fn explain(path: &PathBuf, class: &id::Class) -> eyre::Result<ExitCode> {
+    let deployment = read(path)?;
+    let known: Vec<&str> = deployment.classes.iter().map(|c| c.name.as_str()).collect();
+    let lines = explain::lines(&deployment, class)
+        .ok_or_eyre(format!("class: read {class:?}, allowed {}", known.join(", ")))?;
+    lines.iter().for_each(|line| println!("{line}"));
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Reads a questionnaire or a configuration; the latter starts with a brace.
+fn read(path: &PathBuf) -> eyre::Result<Deployment> {
+    let text = load(path)?;
+    if text.trim_start().starts_with('{') {
+        return Deployment::parse(text.as_bytes()).wrap_err_with(|| path.display().to_string());
+    }
+    Ok(questionnaire::generate(&path.display().to_string(), &text)?)
+}
+
+fn read_questionnaire(path: &PathBuf) -> eyre::Result<Deployment> {
+    Ok(questionnaire::generate(&path.display().to_string(), &load(path)?)?)
+}
+
+fn load(path: &PathBuf) -> eyre::Result<String> {
+    std::fs::read_to_string(path).wrap_err_with(|| path.display().to_string())
+}
--- /dev/null
+++ b/crates/balsamgate/src/main.rs
@@ -0,0 +1,105 @@
+//! `balsamgate`: one node of the query tier.
+
+mod observe;
+
+use std::{path::PathBuf, process::ExitCode};
+
+use bpaf::Bpaf;
+use config::settings::{HELP, Settings};
+use eyre::WrapErr;
+use node::server::Server;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio_util::sync::CancellationToken;
+
+/// A node of the balsamgate query tier.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options, version)]
+enum Command {
+    /// Runs a node until it is told to stop.
+    #[bpaf(command)]
+    Run {
+        /// Settings of the node, in INI
+        #[bpaf(long, short, argument("FILE"))]
+        settings: PathBuf,
+    },
+    /// Lists every setting with its unit, range and default.
+    #[bpaf(command)]
+    Settings,
+    /// Checks a settings file without running a node.
+    #[bpaf(command)]
+    Check {
+        /// Settings of the node, in INI
+        #[bpaf(long, short, argument("FILE"))]
+        settings: PathBuf,
+    },
+}
+
+fn main() -> ExitCode {
+    match execute(command().run()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("balsamgate: {e:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn execute(command: Command) -> eyre::Result<()> {
+    match command {
+        Command::Settings => {
+            list_settings();
+            Ok(())
+        }
+        Command::Check { settings } => read(&settings).map(|_| println!("settings are valid")),
+        Command::Run { settings } => run(read(&settings)?),
+    }
+}
+
+fn read(path: &PathBuf) -> eyre::Result<Settings> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).wrap_err_with(|| name.clone())?;
+    Ok(Settings::parse(&name, &text)?)
+}
+
+fn list_settings() {
+    for help in HELP {
+        println!("{}", help.field);
+        println!("    {}", help.text);
+        println!("    allowed: {}", help.allowed);
+        let default = if help.default.is_empty() { "must be given" } else { help.default };
+        println!("    default: {default}");
+    }
+}
+
+fn run(settings: Settings) -> eyre::Result<()> {
+    observe::start_log(&settings)?;
+    let mut runtime = tokio::runtime::Builder::new_multi_thread();
+    runtime.enable_all();
+    if settings.threads > 0 {
+        runtime.worker_threads(settings.threads);
+    }
+    runtime.build()?.block_on(serve(settings))
+}
+
+async fn serve(settings: Settings) -> eyre::Result<()> {
+    let traces = observe::start_traces(&settings)?;
+    let metrics = observe::metrics(&settings)?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let stop = CancellationToken::new();
+    let seed = std::hash::BuildHasher::hash_one(&std::hash::RandomState::new(), std::process::id());
+    let server = Server::start(settings, metrics, seed, &stop).await?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+        () = stop.cancelled() => {}
+    }
+    let cut_off = server.stop().await;
+    if let Some(provider) = traces {
+        // Spans that cannot be sent are lost; the node stops all the same.
+        let _ = provider.shutdown();
+    }
+    eyre::ensure!(cut_off == 0, "the limit on a planned stop cut off {cut_off} requests");
+    log::info!("stopped");
+    Ok(())
+}
--- /dev/null
+++ b/crates/balsamgate/src/observe.rs
@@ -0,0 +1,49 @@
+//! Logs, counters and traces of the process.
+
+use std::net::UdpSocket;
+
+use cadence::{QueuingMetricSink, StatsdClient, UdpMetricSink};
+use config::settings::Settings;
+use eyre::WrapErr;
+use opentelemetry::{global, trace::TracerProvider};
+use opentelemetry_otlp::WithExportConfig;
+use opentelemetry_sdk::{Resource, propagation::TraceContextPropagator, trace::SdkTracerProvider};
+use simplelog::{ColorChoice, ConfigBuilder, LevelFilter, TermLogger, TerminalMode};
+use tracing_subscriber::{layer::SubscriberExt, util::SubscriberInitExt};
+
+const PREFIX: &str = "balsamgate";
+
+/// Starts the log on standard error.
+pub(crate) fn start_log(settings: &Settings) -> eyre::Result<()> {
+    let level: LevelFilter = settings.log_level.parse()?;
+    let config =
+        ConfigBuilder::new().set_time_format_rfc3339().add_filter_ignore_str("tarpc").build();
+    TermLogger::init(level, config, TerminalMode::Stderr, ColorChoice::Never)?;
+    Ok(())
+}
+
+/// Client of the statsd server in the settings.
+pub(crate) fn metrics(settings: &Settings) -> eyre::Result<Option<StatsdClient>> {
+    let Some(address) = settings.statsd else { return Ok(None) };
+    let socket = UdpSocket::bind(if address.is_ipv4() { "0.0.0.0:0" } else { "[::]:0" })?;
+    socket.set_nonblocking(true)?;
+    let sink = QueuingMetricSink::from(UdpMetricSink::from(address, socket)?);
+    Ok(Some(StatsdClient::from_sink(PREFIX, sink)))
+}
+
+/// Starts sending spans to the collector in the settings.
+pub(crate) fn start_traces(settings: &Settings) -> eyre::Result<Option<SdkTracerProvider>> {
+    let Some(url) = &settings.otlp else { return Ok(None) };
+    let exporter = opentelemetry_otlp::SpanExporter::builder()
+        .with_http()
+        .with_endpoint(url)
+        .build()
+        .wrap_err("traces")?;
+    let resource = Resource::builder().with_service_name(PREFIX).build();
+    let provider =
+        SdkTracerProvider::builder().with_batch_exporter(exporter).with_resource(resource).build();
+    global::set_text_map_propagator(TraceContextPropagator::new());
+    let layer = tracing_opentelemetry::layer().with_tracer(provider.tracer(PREFIX));
+    tracing_subscriber::registry().with(layer).try_init()?;
+    Ok(Some(provider))
+}
--- /dev/null
+++ b/crates/base/src/clock.rs
@@ -0,0 +1,55 @@
+//! The clock as an interface, so that tests and experiments can run on virtual time.
+
+use std::{
+    fmt,
+    sync::Arc,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+/// Source of monotonic time.
+pub trait Clock: fmt::Debug + Send + Sync {
+    /// The current instant. Never goes backwards.
+    fn now(&self) -> Instant;
+}
+
+/// Clock of the tokio runtime; follows its paused time in tests.
+#[derive(Debug, Default)]
+pub struct Runtime;
+
+impl Clock for Runtime {
+    fn now(&self) -> Instant {
+        tokio::time::Instant::now().into_std()
+    }
+}
+
+/// Wall-clock time that advances with a monotonic clock.
+///
+/// The system's wall clock is read once, at construction. Later corrections of the system
+/// clock, forwards or backwards, do not affect it, so that expiry decisions of one process are
+/// never revised.
+#[derive(Debug, Clone)]
+pub struct Anchored {
+    clock: Arc<dyn Clock>,
+    origin: Instant,
+    origin_unix: Duration,
+}
+
+impl Anchored {
+    /// Anchors `clock` to the system's wall clock as it reads now.
+    pub fn new(clock: Arc<dyn Clock>) -> Anchored {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Anchored::with_origin(clock, unix)
+    }
+
+    /// Anchors `clock` to a given time since the Unix epoch.
+    pub fn with_origin(clock: Arc<dyn Clock>, unix: Duration) -> Anchored {
+        let origin = clock.now();
+        Anchored { clock, origin, origin_unix: unix }
+    }
+
+    /// Milliseconds since the Unix epoch.
+    pub fn unix_ms(&self) -> u64 {
+        let elapsed = self.clock.now().saturating_duration_since(self.origin);
+        u64::try_from((self.origin_unix + elapsed).as_millis()).unwrap_or(u64::MAX)
+    }
+}
--- /dev/null
+++ b/crates/base/src/id.rs
@@ -0,0 +1,173 @@
+//! Identifiers.
+
+use std::{fmt, net::SocketAddr, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+/// An identifier that could not be parsed.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{kind}: read {read:?}, allowed {allowed}")]
+pub struct Error {
+    /// What was to be parsed.
+    pub kind: &'static str,
+    /// The text as read.
+    pub read: String,
+    /// What would have been accepted.
+    pub allowed: &'static str,
+}
+
+/// Longest accepted name, in bytes.
+pub const NAME_LIMIT: usize = 64;
+
+fn is_name(text: &str) -> bool {
+    let ok = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-';
+    !text.is_empty()
+        && text.len() <= NAME_LIMIT
+        && text.starts_with(|c: char| c.is_ascii_lowercase())
+        && text.chars().all(ok)
+}
+
+macro_rules! names {
+    ($($(#[$doc:meta])* $name:ident, $kind:literal;)*) => {$(
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+        #[serde(try_from = "SmolStr", into = "SmolStr")]
+        pub struct $name(SmolStr);
+
+        impl $name {
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = Error;
+
+            fn from_str(text: &str) -> Result<$name, Error> {
+                if !is_name(text) {
+                    let allowed = "1 to 64 of a-z, 0-9 and -, starting with a letter";
+                    return Err(Error { kind: $kind, read: text.to_owned(), allowed });
+                }
+                Ok($name(SmolStr::new(text)))
+            }
+        }
+
+        impl TryFrom<SmolStr> for $name {
+            type Error = Error;
+
+            fn try_from(text: SmolStr) -> Result<$name, Error> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for SmolStr {
+            fn from(name: $name) -> SmolStr {
+                name.0
+            }
+        }
+    )*};
+}
+
+names! {
+    /// Name of a deployment: one user's region.
+    Deployment, "deployment";
+    /// Name of a failure domain.
+    Domain, "failure domain";
+    /// Name of a service behind the query tier.
+    Service, "service";
+    /// Name of a search class.
+    Class, "class";
+    /// Name of a set of callers.
+    Caller, "caller";
+}
+
+macro_rules! numbers {
+    ($($(#[$doc:meta])* $name:ident($int:ty), $kind:literal;)*) => {$(
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub $int);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Display::fmt(&self.0, f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = Error;
+
+            fn from_str(text: &str) -> Result<$name, Error> {
+                text.parse().map($name).map_err(|_| Error {
+                    kind: $kind,
+                    read: text.to_owned(),
+                    allowed: "a non-negative integer",
+                })
+            }
+        }
+    )*};
+}
+
+numbers! {
+    /// Index of a shard group within its service's map.
+    Group(u16), "group";
+    /// One search by one caller.
+    Query(u64), "query";
+    /// One request sent to one upstream. Unique within a node's incarnation.
+    Attempt(u64), "attempt";
+    /// Distinguishes successive processes on one address; later ones are higher.
+    Incarnation(u64), "incarnation";
+}
+
+/// Address of an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Upstream(pub SocketAddr);
+
+impl fmt::Display for Upstream {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+impl FromStr for Upstream {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Upstream, Error> {
+        parse_addr("upstream", text).map(Upstream)
+    }
+}
+
+/// Address on which a node serves its peers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Node(pub SocketAddr);
+
+impl fmt::Display for Node {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+impl FromStr for Node {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Node, Error> {
+        parse_addr("node", text).map(Node)
+    }
+}
+
+fn parse_addr(kind: &'static str, text: &str) -> Result<SocketAddr, Error> {
+    let allowed = "IP:port, such as 10.0.0.1:7000";
+    text.parse().map_err(|_| Error { kind, read: text.to_owned(), allowed })
+}
--- /dev/null
+++ b/crates/base/src/unit.rs
@@ -0,0 +1,126 @@
+//! Sizes, shares and counters with their units.
+
+use std::{fmt, str::FromStr, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::Error;
+
+macro_rules! counters {
+    ($($(#[$doc:meta])* $name:ident, $kind:literal;)*) => {$(
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize,
+            Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Display::fmt(&self.0, f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = Error;
+
+            fn from_str(text: &str) -> Result<$name, Error> {
+                let allowed = "a non-negative integer";
+                text.parse()
+                    .map($name)
+                    .map_err(|_| Error { kind: $kind, read: text.to_owned(), allowed })
+            }
+        }
+    )*};
+}
+
+counters! {
+    /// Generation of a published configuration; higher replaces lower.
+    Generation, "generation";
+    /// Version of a service's index; higher is newer.
+    Version, "version";
+}
+
+/// Share of a whole, from 0 to 1, kept in parts per million so that it compares exactly.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Share(u32);
+
+impl Share {
+    const WHOLE: u32 = 1_000_000;
+    /// Nothing.
+    pub const ZERO: Share = Share(0);
+    /// Everything.
+    pub const ONE: Share = Share(Share::WHOLE);
+
+    /// `part` of `whole`, rounded down, so that only a whole reads as a whole.
+    pub fn new(part: u64, whole: u64) -> Share {
+        if whole == 0 || part >= whole {
+            return Share::ONE;
+        }
+        Share((u128::from(part) * u128::from(Share::WHOLE) / u128::from(whole)) as u32)
+    }
+
+    /// Share of `percent` in a hundred.
+    pub fn with_percent(percent: f64) -> Share {
+        Share((percent.clamp(0.0, 100.0) * f64::from(Share::WHOLE) / 100.0).round() as u32)
+    }
+
+    /// The share as a number from 0 to 1.
+    pub fn as_f64(self) -> f64 {
+        f64::from(self.0) / f64::from(Share::WHOLE)
+    }
+}
+
+impl fmt::Display for Share {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}%", self.as_f64() * 100.0)
+    }
+}
+
+impl FromStr for Share {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Share, Error> {
+        let percent = text.strip_suffix('%').and_then(|n| n.trim().parse::<f64>().ok());
+        match percent {
+            Some(p) if (0.0..=100.0).contains(&p) => Ok(Share::with_percent(p)),
+            _ => Err(Error { kind: "share", read: text.to_owned(), allowed: "0% to 100%" }),
+        }
+    }
+}
+
+/// Length of time as written in settings: `250 ms`, `5 s`, `2 min`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Span(pub Duration);
+
+impl fmt::Display for Span {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let ms = self.0.as_millis();
+        match ms {
+            _ if ms > 0 && ms.is_multiple_of(60_000) => write!(f, "{} min", ms / 60_000),
+            _ if ms > 0 && ms.is_multiple_of(1_000) => write!(f, "{} s", ms / 1_000),
+            _ => write!(f, "{ms} ms"),
+        }
+    }
+}
+
+impl FromStr for Span {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Span, Error> {
+        let allowed = "a number with a unit of ms, s or min, such as 250 ms";
+        let error = || Error { kind: "duration", read: text.to_owned(), allowed };
+        let digits = text.trim_end_matches(|c: char| c.is_ascii_alphabetic()).trim_end();
+        let count: u64 = digits.parse().map_err(|_| error())?;
+        let unit_ms = match text[digits.len()..].trim() {
+            "ms" => 1,
+            "s" => 1_000,
+            "min" => 60_000,
+            _ => return Err(error()),
+        };
+        let ms = count.checked_mul(unit_ms).ok_or_else(error)?;
+        Ok(Span(Duration::from_millis(ms)))
+    }
+}
--- /dev/null
+++ b/crates/config/src/field.rs
@@ -0,0 +1,260 @@
+//! Reading typed fields from INI sections, collecting every error with its place.
+
+use std::{fmt, ops::RangeInclusive, str::FromStr, time::Duration};
+
+use base::unit::Span;
+
+use crate::ini;
+
+/// What is wrong with one field of one file.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Error {
+    /// Name of the file as given by the operator.
+    pub file: String,
+    /// Line, counted from 1.
+    pub line: usize,
+    /// Section and key, such as `[service maps] slots`.
+    pub field: String,
+    /// What was read; empty where something is missing.
+    pub read: String,
+    /// What would have been accepted.
+    pub allowed: String,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Error { file, line, field, read, allowed } = self;
+        if read.is_empty() {
+            return write!(f, "{file}:{line}: {field}: missing, allowed {allowed}");
+        }
+        write!(f, "{file}:{line}: {field}: read {read:?}, allowed {allowed}")
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Every error of one file, in line order.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Errors(pub Vec<Error>);
+
+impl fmt::Display for Errors {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (i, error) in self.0.iter().enumerate() {
+            let separator = if i == 0 { "" } else { "\n" };
+            write!(f, "{separator}{error}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Errors {}
+
+/// A file being read.
+#[derive(Debug)]
+pub(crate) struct File {
+    name: String,
+    sections: Vec<ini::Section>,
+    errors: Vec<Error>,
+}
+
+impl File {
+    pub(crate) fn parse(name: &str, text: &str) -> Result<File, Errors> {
+        let sections = ini::parse(text).map_err(|e| {
+            Errors(vec![Error {
+                file: name.to_owned(),
+                line: e.line,
+                field: "file".to_owned(),
+                read: text.lines().nth(e.line.saturating_sub(1)).unwrap_or("?").to_owned(),
+                allowed: format!("INI text ({})", e.message),
+            }])
+        })?;
+        Ok(File { name: name.to_owned(), sections, errors: Vec::new() })
+    }
+
+    /// Takes out the sections whose header starts with the word `kind`, in file order.
+    pub(crate) fn take(&mut self, kind: &str) -> Vec<Section> {
+        let is_kind = |s: &ini::Section| s.name.split_whitespace().next().unwrap_or("") == kind;
+        let (taken, rest) = std::mem::take(&mut self.sections).into_iter().partition(is_kind);
+        self.sections = rest;
+        let taken: Vec<ini::Section> = taken;
+        let mut sections = Vec::new();
+        for section in taken {
+            let twice = sections.iter().any(|s: &Section| s.header == section.name);
+            if twice {
+                let allowed = "each section once";
+                self.error(section.line, &format!("[{}]", section.name), &section.name, allowed);
+            }
+            sections.push(self.section(section));
+        }
+        sections
+    }
+
+    /// Takes out the one section named `kind`; an absent one is an error if `required`.
+    pub(crate) fn take_one(&mut self, kind: &str, required: bool) -> Section {
+        let taken = self.take(kind);
+        if taken.is_empty() && required {
+            self.error(1, &format!("[{kind}]"), "", "this section once");
+        }
+        let absent = Section { line: 1, header: kind.to_owned(), entries: Vec::new() };
+        taken.into_iter().next().unwrap_or(absent)
+    }
+
+    fn section(&mut self, section: ini::Section) -> Section {
+        let mut entries: Vec<ini::Entry> = Vec::new();
+        for entry in section.entries {
+            if entries.iter().any(|e| e.key == entry.key) {
+                let field = format!("[{}] {}", section.name, entry.key);
+                self.error(entry.line, &field, &entry.value, "each field once");
+                continue;
+            }
+            entries.push(entry);
+        }
+        Section { line: section.line, header: section.name, entries }
+    }
+
+    pub(crate) fn error(&mut self, line: usize, field: &str, read: &str, allowed: &str) {
+        self.errors.push(Error {
+            file: self.name.clone(),
+            line,
+            field: field.to_owned(),
+            read: read.to_owned(),
+            allowed: allowed.to_owned(),
+        });
+    }
+
+    /// Reports the sections nobody took, then all errors if there are any.
+    pub(crate) fn finish(mut self, sections: &str) -> Result<(), Errors> {
+        for section in std::mem::take(&mut self.sections) {
+            let read =
+                if section.name.is_empty() { "fields before any section" } else { &section.name };
+            self.error(section.line, "section", read, sections);
+        }
+        if self.errors.is_empty() {
+            return Ok(());
+        }
+        self.errors.sort_by_key(|e| e.line);
+        Err(Errors(self.errors))
+    }
+}
+
+/// A section whose fields are taken one by one.
+#[derive(Debug)]
+pub(crate) struct Section {
+    pub(crate) line: usize,
+    pub(crate) header: String,
+    entries: Vec<ini::Entry>,
+}
+
+impl Section {
+    /// The second word of the header, parsed; the header's line is reported if it is wrong.
+    pub(crate) fn name<T>(&self, file: &mut File) -> Option<T>
+    where
+        T: FromStr<Err = base::id::Error>,
+    {
+        let name = self.header.split_whitespace().nth(1).unwrap_or("");
+        let more = self.header.split_whitespace().count() > 2;
+        let read = if more { self.header.as_str() } else { name };
+        match read.parse() {
+            Ok(value) => Some(value),
+            Err(e) => {
+                file.error(self.line, &format!("[{}]", self.header), read, e.allowed);
+                None
+            }
+        }
+    }
+
+    pub(crate) fn field(&self, key: &str) -> String {
+        format!("[{}] {key}", self.header)
+    }
+
+    /// Takes the raw value of `key` with its line.
+    pub(crate) fn raw(&mut self, key: &str) -> Option<(usize, String)> {
+        let index = self.entries.iter().position(|e| e.key == key)?;
+        let entry = self.entries.remove(index);
+        Some((entry.line, entry.value))
+    }
+
+    /// Takes `key` by `parse`; reports it as missing or wrong and falls back to `default`.
+    pub(crate) fn take<T>(
+        &mut self,
+        file: &mut File,
+        key: &str,
+        allowed: &str,
+        default: Option<T>,
+        parse: impl Fn(&str) -> Option<T>,
+    ) -> Option<T> {
+        let field = self.field(key);
+        let Some((line, value)) = self.raw(key) else {
+            if default.is_none() {
+                file.error(self.line, &field, "", allowed);
+            }
+            return default;
+        };
+        let parsed = parse(&value);
+        if parsed.is_none() {
+            let read = if value.is_empty() { "(empty)" } else { &value };
+            file.error(line, &field, read, allowed);
+        }
+        parsed
+    }
+
+    pub(crate) fn number(
+        &mut self,
+        file: &mut File,
+        key: &str,
+        range: RangeInclusive<u64>,
+        default: Option<u64>,
+    ) -> Option<u64> {
+        let allowed = format!("{} to {}", range.start(), range.end());
+        let parse = |v: &str| v.parse().ok().filter(|n| range.contains(n));
+        self.take(file, key, &allowed, default, parse)
+    }
+
+    pub(crate) fn span(
+        &mut self,
+        file: &mut File,
+        key: &str,
+        range_ms: RangeInclusive<u64>,
+        default_ms: Option<u64>,
+    ) -> Option<Duration> {
+        let span = |ms: u64| Span(Duration::from_millis(ms));
+        let allowed = format!("{} to {}", span(*range_ms.start()), span(*range_ms.end()));
+        let allowed_ms = |d: &Duration| range_ms.contains(&(d.as_millis() as u64));
+        let parse = |v: &str| v.parse::<Span>().ok().map(|s| s.0).filter(allowed_ms);
+        self.take(file, key, &allowed, default_ms.map(Duration::from_millis), parse)
+    }
+
+    pub(crate) fn flag(&mut self, file: &mut File, key: &str, default: bool) -> bool {
+        let parse = |v: &str| match v {
+            "yes" => Some(true),
+            "no" => Some(false),
+            _ => None,
+        };
+        self.take(file, key, "yes or no", Some(default), parse).unwrap_or(default)
+    }
+
+    /// Takes a comma-separated list of names.
+    pub(crate) fn list<T>(&mut self, file: &mut File, key: &str) -> Vec<T>
+    where
+        T: FromStr<Err = base::id::Error> + PartialEq,
+    {
+        let allowed = "names separated by commas, each once";
+        let parse = |v: &str| {
+            let mut names = Vec::new();
+            for part in v.split(',') {
+                let name = part.trim().parse::<T>().ok().filter(|n| !names.contains(n))?;
+                names.push(name);
+            }
+            Some(names)
+        };
+        self.take(file, key, allowed, None, parse).unwrap_or_default()
+    }
+
+    /// Reports the fields nobody took.
+    pub(crate) fn finish(self, file: &mut File, fields: &str) {
+        for entry in &self.entries {
+            let field = self.field(&entry.key);
+            file.error(entry.line, &field, &entry.key, &format!("one of {fields}"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/src/ini.rs
@@ -0,0 +1,72 @@
+//! INI text with the line of each section and key.
+
+use ini::{Ini, ParseOption};
+
+/// One `key = value` line.
+#[derive(Debug, Clone)]
+pub(crate) struct Entry {
+    pub(crate) line: usize,
+    pub(crate) key: String,
+    pub(crate) value: String,
+}
+
+/// One section; the entries before the first header form a section without a name.
+#[derive(Debug, Clone)]
+pub(crate) struct Section {
+    pub(crate) line: usize,
+    pub(crate) name: String,
+    pub(crate) entries: Vec<Entry>,
+}
+
+/// Text that is not INI.
+#[derive(Debug)]
+pub(crate) struct Error {
+    pub(crate) line: usize,
+    pub(crate) message: String,
+}
+
+/// Parses `text`. Sections and keys keep their order, duplicates included.
+///
+/// The library parses each section by itself, because it merges sections of one name and
+/// reports no lines.
+pub(crate) fn parse(text: &str) -> Result<Vec<Section>, Error> {
+    let mut sections = Vec::new();
+    let mut start = 0;
+    let lines: Vec<&str> = text.lines().collect();
+    for end in 1..=lines.len() {
+        let closes = end == lines.len() || lines[end].trim_start().starts_with('[');
+        if !closes {
+            continue;
+        }
+        sections.extend(parse_section(&lines[start..end], start + 1)?);
+        start = end;
+    }
+    Ok(sections)
+}
+
+fn parse_section(lines: &[&str], first: usize) -> Result<Option<Section>, Error> {
+    let options =
+        ParseOption { enabled_quote: false, enabled_escape: false, ..ParseOption::default() };
+    let parsed = Ini::load_from_str_opt(&lines.join("\n"), options)
+        .map_err(|e| Error { line: first + e.line, message: e.msg.to_string() })?;
+    let headed = lines[0].trim_start().starts_with('[');
+    let mut section = Section { line: first, name: String::new(), entries: Vec::new() };
+    for (name, properties) in parsed.iter() {
+        section.name = name.unwrap_or_default().trim().to_owned();
+        let mut from = 0;
+        for (key, value) in properties.iter() {
+            let offset = line_of(lines, from, key);
+            from = offset + 1;
+            let entry =
+                Entry { line: first + offset, key: key.to_owned(), value: value.trim().to_owned() };
+            section.entries.push(entry);
+        }
+    }
+    Ok((headed || !section.entries.is_empty()).then_some(section))
+}
+
+fn line_of(lines: &[&str], from: usize, key: &str) -> usize {
+    let is_key = |line: &str| line.split(['=', ':']).next().is_some_and(|k| k.trim() == key);
+    let found = lines.iter().skip(from).position(|line| is_key(line));
+    found.map_or(from.min(lines.len() - 1), |i| from + i)
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,3 @@
+//! Experiments and checks of concurrent runs, driving the real code with small stand-ins.
+
+pub mod local;
--- /dev/null
+++ b/crates/lab/src/local.rs
@@ -0,0 +1,156 @@
+//! A deployment on loopback in one process: real sockets, stand-ins for upstreams and platform.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use base::{id, unit::Version};
+use config::{
+    deployment::Deployment,
+    settings::{Routing, Settings},
+};
+use node::server::{Error, Server};
+use policy::replica::Window;
+use standin::{
+    farm::Farm,
+    history::Log,
+    http::{Traces, serve_platform, serve_upstream},
+    platform::Platform,
+    service_time::Shape,
+};
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+use wire::platform::{State, Vm};
+
+/// Addresses of one node.
+#[derive(Debug, Clone, Copy)]
+pub struct Place {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For other nodes.
+    pub peers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+}
+
+/// The stand-ins of a deployment, over HTTP.
+#[derive(Debug)]
+pub struct Surroundings {
+    /// The configuration, with the addresses that the upstreams were given.
+    pub deployment: Deployment,
+    /// The upstreams.
+    pub farm: Farm,
+    /// What they saw.
+    pub log: Log,
+    /// Trace headers that they were sent.
+    pub traces: Traces,
+    /// The platform's service.
+    pub platform: Platform,
+    /// Its address.
+    pub platform_address: SocketAddr,
+}
+
+impl Surroundings {
+    /// Starts the upstreams of `deployment` and the platform's service. With `ephemeral`, each
+    /// upstream gets a free port, and the deployment is changed to say so.
+    pub async fn start(
+        mut deployment: Deployment,
+        ephemeral: bool,
+        shape: Shape,
+        seed: u64,
+    ) -> std::io::Result<Surroundings> {
+        let mut listeners = Vec::new();
+        for service in &mut deployment.services {
+            let setup = Duration::from_millis(service.connection_setup_ms);
+            for server in service.groups.iter_mut().flat_map(|g| &mut g.servers) {
+                let mut address = server.upstream.0;
+                if ephemeral {
+                    address.set_port(0);
+                }
+                let listener = TcpListener::bind(address).await?;
+                server.upstream = id::Upstream(listener.local_addr()?);
+                listeners.push((server.upstream, listener, setup));
+            }
+        }
+        let log = Log::new();
+        let farm = Farm::new(&deployment, shape, Duration::ZERO, &log, seed);
+        let traces = Traces::default();
+        for (address, listener, setup) in listeners {
+            if let Some(upstream) = farm.upstream(address) {
+                tokio::spawn(serve_upstream(upstream.clone(), listener, setup, traces.clone()));
+            }
+        }
+        let platform = Platform::new();
+        platform.publish(deployment.generation, deployment.to_bytes());
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let platform_address = listener.local_addr()?;
+        tokio::spawn(serve_platform(platform.clone(), listener));
+        Ok(Surroundings { deployment, farm, log, traces, platform, platform_address })
+    }
+
+    /// Settings of node `index`, which listens at `place`.
+    pub fn settings(&self, index: usize, place: Place) -> Settings {
+        let domains = &self.deployment.domains;
+        Settings {
+            deployment: self.deployment.name.clone(),
+            domain: domains[index % domains.len()].clone(),
+            callers: place.callers,
+            peers: place.peers,
+            operators: place.operators,
+            platform: self.platform_address,
+            routing: Routing::Cells,
+            address_validity: Duration::from_secs(1),
+            id_validity: Duration::from_secs(3),
+            stop_limit: Duration::from_secs(20),
+            requests: 1_000,
+            body_limit: 1 << 20,
+            io_timeout: Duration::from_secs(5),
+            threads: 0,
+            log_level: "info".to_owned(),
+            statsd: None,
+            otlp: None,
+        }
+    }
+
+    /// Starts a node for each of `places` and lists them at the platform.
+    pub async fn start_nodes(&self, places: &[Place]) -> Result<Vec<Arc<Server>>, Error> {
+        let live = |p: &Place| Vm { address: p.peers, state: State::Live };
+        let vms: Vec<Vm> = places.iter().map(live).collect();
+        self.platform.change(|state| state.vms = vms);
+        let mut servers = Vec::new();
+        for (index, place) in places.iter().enumerate() {
+            let settings = self.settings(index, *place);
+            let stop = CancellationToken::new();
+            servers.push(Arc::new(Server::start(settings, None, index as u64, &stop).await?));
+        }
+        Ok(servers)
+    }
+
+    /// Moves all versioned upstreams on so that they hold `oldest` to `newest`.
+    pub fn advance(&self, oldest: Version, newest: Version) {
+        for upstream in self.farm.all() {
+            upstream.behave(|b| b.window = b.window.map(|_| Window { oldest, newest }));
+        }
+    }
+}
+
+/// Free loopback addresses for `count` nodes.
+///
+/// The ports are free when this returns; a process that takes one before the node does makes
+/// the node's start fail.
+pub fn places(count: usize) -> std::io::Result<Vec<Place>> {
+    let free = || -> std::io::Result<(std::net::TcpListener, SocketAddr)> {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        Ok((listener, address))
+    };
+    // The listeners are held until all ports are known, so that none comes twice.
+    let mut held = Vec::new();
+    let mut places = Vec::new();
+    for _ in 0..count {
+        let (a, callers) = free()?;
+        let (b, peers) = free()?;
+        let (c, operators) = free()?;
+        held.extend([a, b, c]);
+        places.push(Place { callers, peers, operators });
+    }
+    Ok(places)
+}
--- /dev/null
+++ b/crates/node/src/context.rs
@@ -0,0 +1,219 @@
+//! State that all parts of a node share.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Instant,
+};
+
+use arc_swap::ArcSwap;
+use base::{
+    clock::{Anchored, Clock},
+    id,
+};
+use config::{deployment::Service, settings::Settings};
+use parking_lot::Mutex;
+use policy::{
+    adoption::{Holder, Value},
+    group,
+    membership::{Extras, Fleet, Record},
+    quarantine::Book,
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use wire::{heartbeat, peer::Hello};
+
+use crate::{
+    counter::Counters,
+    edge::{Network, Peer, Platform, Upstream},
+};
+
+/// Configurations kept for running queries, the one in force included.
+const HISTORY: usize = 4;
+const NOTICES: usize = policy::membership::NOTICES;
+
+/// Everything that a node reaches outside of its process.
+#[derive(Debug, Clone)]
+pub struct Edges {
+    /// Upstreams.
+    pub upstream: Arc<dyn Upstream>,
+    /// Other nodes.
+    pub peer: Arc<dyn Peer>,
+    /// The platform's service.
+    pub platform: Arc<dyn Platform>,
+    /// Datagrams to other nodes.
+    pub network: Arc<dyn Network>,
+    /// Time.
+    pub clock: Arc<dyn Clock>,
+}
+
+/// State that all parts of a node share.
+#[derive(Debug)]
+pub struct Context {
+    /// Settings.
+    pub settings: Settings,
+    /// The process.
+    pub incarnation: id::Incarnation,
+    /// The node's own address.
+    pub node: id::Node,
+    /// What it reaches.
+    pub edges: Edges,
+    /// Wall-clock time for ids.
+    pub anchored: Anchored,
+    /// Counters.
+    pub counters: Counters,
+    /// Mechanisms of the leaves.
+    pub options: group::Options,
+    pub(crate) holder: Mutex<Holder>,
+    pub(crate) refused: Mutex<Option<String>>,
+    /// Configurations, the one in force first.
+    configs: ArcSwap<Vec<Arc<Value>>>,
+    pub(crate) fleet: Mutex<Fleet>,
+    /// Members, refreshed from `fleet` after each change.
+    view: ArcSwap<Vec<Record>>,
+    pub(crate) book: Mutex<Book>,
+    /// Whether `book` holds anything, so that most requests need not look.
+    suspicion: AtomicBool,
+    pub(crate) requests: AtomicUsize,
+    stopping: AtomicBool,
+    rng: Mutex<ChaCha8Rng>,
+}
+
+impl Context {
+    /// State of a node that has just started. `seed` decides all its random choices.
+    pub fn new(
+        settings: Settings,
+        incarnation: id::Incarnation,
+        edges: Edges,
+        anchored: Anchored,
+        seed: u64,
+    ) -> Context {
+        let node = id::Node(settings.peers);
+        let own = Record {
+            node,
+            incarnation,
+            counter: 0,
+            status: policy::membership::Status::Alive,
+            leaving: false,
+            domain: settings.domain.clone(),
+            callers: settings.callers,
+        };
+        Context {
+            holder: Mutex::new(Holder::new(settings.deployment.clone())),
+            refused: Mutex::new(None),
+            configs: ArcSwap::default(),
+            fleet: Mutex::new(Fleet::new(own)),
+            view: ArcSwap::default(),
+            book: Mutex::new(Book::new()),
+            suspicion: AtomicBool::new(false),
+            requests: AtomicUsize::new(0),
+            stopping: AtomicBool::new(false),
+            rng: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
+            counters: Counters::new(),
+            options: group::Options::default(),
+            settings,
+            incarnation,
+            node,
+            edges,
+            anchored,
+        }
+    }
+
+    /// The same with some mechanisms of the leaves switched off.
+    pub fn with_options(mut self, options: group::Options) -> Context {
+        self.options = options;
+        self
+    }
+
+    /// The current instant.
+    pub fn now(&self) -> Instant {
+        self.edges.clock.now()
+    }
+
+    /// Opening of requests to other nodes.
+    pub fn hello(&self) -> Hello {
+        Hello { protocol: heartbeat::PROTOCOL, deployment: self.settings.deployment.clone() }
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> Option<Arc<Value>> {
+        self.configs.load().first().cloned()
+    }
+
+    /// The service as the newest kept configuration with its map of generation `map` has it.
+    pub fn service(&self, name: &id::Service, map: base::unit::Generation) -> Option<Service> {
+        let configs = self.configs.load();
+        let mut found = configs.iter().filter_map(|v| v.deployment.service(name));
+        found.find(|s| s.map == map).cloned()
+    }
+
+    pub(crate) fn push_config(&self, value: Arc<Value>) {
+        self.configs.rcu(|old| {
+            let kept = old.iter().take(HISTORY - 1).cloned();
+            std::iter::once(value.clone()).chain(kept).collect::<Vec<_>>()
+        });
+    }
+
+    /// The other nodes, as last seen.
+    pub fn view(&self) -> Arc<Vec<Record>> {
+        self.view.load_full()
+    }
+
+    pub(crate) fn refresh_view(&self, fleet: &Fleet) {
+        let mut records: Vec<Record> = fleet.records().cloned().collect();
+        records.sort_unstable_by_key(|r| r.node);
+        if **self.view.load() != records {
+            self.view.store(Arc::new(records));
+        }
+    }
+
+    /// What heartbeats carry beside membership.
+    pub(crate) fn extras(&self) -> Extras {
+        let notices = self.book.lock().notices(self.now(), NOTICES);
+        Extras { stamp: self.stamp(), notices }
+    }
+
+    pub(crate) fn stamp(&self) -> policy::adoption::Stamp {
+        self.configs.load().first().map(|v| v.stamp).unwrap_or_default()
+    }
+
+    /// Whether requests with `fingerprint` are suspected of crashing upstreams.
+    pub fn is_suspect(&self, fingerprint: u64) -> bool {
+        self.suspicion.load(Ordering::Relaxed)
+            && self.book.lock().is_suspect(self.now(), fingerprint)
+    }
+
+    pub(crate) fn raise_suspicion(&self) {
+        self.suspicion.store(true, Ordering::Relaxed);
+    }
+
+    pub(crate) fn has_suspicion(&self) -> bool {
+        self.suspicion.load(Ordering::Relaxed)
+    }
+
+    /// Whether a planned stop has begun.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Requests being served.
+    pub fn requests(&self) -> usize {
+        self.requests.load(Ordering::Relaxed)
+    }
+
+    /// A random number.
+    pub fn random(&self) -> u64 {
+        self.rng.lock().random()
+    }
+
+    /// A generator of its own, seeded from this node's.
+    pub(crate) fn fork_rng(&self) -> ChaCha8Rng {
+        ChaCha8Rng::seed_from_u64(self.random())
+    }
+}
--- /dev/null
+++ b/crates/node/src/fleet.rs
@@ -0,0 +1,188 @@
+//! Drives membership: heartbeats, the platform's VM list, full lists from peers.
+
+use std::{sync::Arc, time::Duration};
+
+use policy::{
+    adoption::Stamp,
+    membership::{Out, Status},
+    routing,
+};
+use tokio_util::sync::CancellationToken;
+use wire::{heartbeat, platform};
+
+use crate::{context::Context, counter::Name, leaf::Leaf};
+
+/// Time between two ticks of membership.
+const TICK: Duration = Duration::from_millis(100);
+/// Time between two reads of the VM list by a watcher.
+const LIST_PERIOD: Duration = Duration::from_secs(2);
+/// Time between two reads of the VM list by a node that is not a watcher.
+const IDLE_LIST_PERIOD: Duration = Duration::from_secs(60);
+/// Watchers of the platform in each failure domain.
+pub const WATCHERS: usize = 2;
+
+/// Tells some nodes at once of what this node has learned.
+pub fn spread_news(context: &Context) {
+    let extras = context.extras();
+    let out = {
+        let mut rng = context.fork_rng();
+        context.fleet.lock().spread_news(&extras, &mut rng)
+    };
+    send(context, out);
+}
+
+/// Announces that this node is stopping.
+pub(crate) fn leave(context: &Context) {
+    let extras = context.extras();
+    let out = {
+        let mut rng = context.fork_rng();
+        context.fleet.lock().leave(&extras, &mut rng)
+    };
+    send(context, out);
+}
+
+/// Sends heartbeats until `cancel`.
+pub async fn beat(context: Arc<Context>, cancel: CancellationToken) {
+    let mut rng = context.fork_rng();
+    loop {
+        let extras = context.extras();
+        let (out, pauses, divergent) = {
+            let mut fleet = context.fleet.lock();
+            let before = fleet.pauses();
+            let out = fleet.tick(context.now(), &extras, &mut rng);
+            context.refresh_view(&fleet);
+            (out, fleet.pauses() - before, fleet.is_divergent())
+        };
+        if pauses > 0 {
+            context.counters.count(Name::Pauses);
+            log::warn!("this process was paused; its view is refreshed before new work");
+        }
+        send(&context, out);
+        if divergent {
+            fetch_members(&context).await;
+        }
+        tokio::select! {
+            biased;
+            () = cancel.cancelled() => return,
+            () = tokio::time::sleep(TICK) => {}
+        }
+    }
+}
+
+/// What a received heartbeat leaves to be done.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct News {
+    /// The sender.
+    pub from: base::id::Node,
+    /// The configuration in force there.
+    pub stamp: Stamp,
+}
+
+/// Takes in a datagram; returns what it tells of the sender's configuration.
+pub fn receive(context: &Context, bytes: &[u8]) -> Option<News> {
+    let message = match heartbeat::decode(&context.settings.deployment, bytes) {
+        Ok(message) => message,
+        Err(_) => {
+            context.counters.count(Name::HeartbeatRefused);
+            return None;
+        }
+    };
+    let learned = learn_notices(context, &message.notices);
+    let extras = context.extras();
+    let out = {
+        let mut fleet = context.fleet.lock();
+        let out = fleet.receive(context.now(), &message, &extras);
+        context.refresh_view(&fleet);
+        out
+    };
+    send(context, out);
+    if learned {
+        spread_news(context);
+    }
+    Some(News { from: message.sender.node, stamp: message.stamp })
+}
+
+fn learn_notices(context: &Context, notices: &[policy::quarantine::Notice]) -> bool {
+    if notices.is_empty() {
+        return false;
+    }
+    context.raise_suspicion();
+    let now = context.now();
+    let mut book = context.book.lock();
+    // Every notice is to be learned, so no short circuit.
+    notices.iter().filter(|n| book.learn(now, **n)).count() > 0
+}
+
+fn send(context: &Context, out: Vec<Out>) {
+    for Out { to, message } in out {
+        match heartbeat::encode(&context.settings.deployment, &message) {
+            Ok(bytes) => {
+                context.counters.count(Name::HeartbeatSent);
+                context.counters.add(Name::HeartbeatBytes, bytes.len() as u64);
+                context.edges.network.send(to, bytes);
+            }
+            Err(e) => log::error!("heartbeat to {to} not sent: {e}"),
+        }
+    }
+}
+
+async fn fetch_members(context: &Context) {
+    let view = context.view();
+    let alive: Vec<_> = view.iter().filter(|r| r.status == Status::Alive).collect();
+    if alive.is_empty() {
+        return;
+    }
+    let peer = alive[context.random() as usize % alive.len()].node;
+    let records = context.edges.peer.members(peer);
+    if let Ok(Ok(records)) = tokio::time::timeout(Duration::from_secs(1), records).await {
+        let mut fleet = context.fleet.lock();
+        fleet.merge_all(context.now(), &records);
+        context.refresh_view(&fleet);
+    }
+}
+
+/// Reads the platform's VM list until `cancel`.
+pub async fn follow_list(context: Arc<Context>, leaf: Arc<Leaf>, cancel: CancellationToken) {
+    loop {
+        read_list(&context, &leaf).await;
+        let alone = context.view().is_empty();
+        let period = if alone || is_watcher(&context) { LIST_PERIOD } else { IDLE_LIST_PERIOD };
+        let jitter = 0.9 + 0.2 * (context.random() as f64 / u64::MAX as f64);
+        tokio::select! {
+            biased;
+            () = cancel.cancelled() => return,
+            () = tokio::time::sleep(period.mul_f64(jitter)) => {}
+        }
+    }
+}
+
+/// Reads the platform's VM list once.
+pub async fn read_list(context: &Context, leaf: &Leaf) {
+    context.counters.count(Name::PlatformReads);
+    let vms = match context.edges.platform.vms().await {
+        Ok(vms) => vms,
+        Err(_) => {
+            context.counters.count(Name::PlatformErrors);
+            return;
+        }
+    };
+    let live = vms.iter().filter(|vm| vm.state == platform::State::Live);
+    let nodes = live.map(|vm| base::id::Node(vm.address)).collect();
+    context.fleet.lock().list(nodes);
+    for vm in vms.iter().filter(|vm| vm.state == platform::State::Leaving) {
+        leaf.listed_leaving(base::id::Upstream(vm.address));
+    }
+}
+
+/// Whether this node is one of those in its failure domain that watch the platform.
+pub fn is_watcher(context: &Context) -> bool {
+    let view = context.view();
+    let own = &context.settings.domain;
+    let alive = |r: &&policy::membership::Record| {
+        r.status == Status::Alive && !r.leaving && r.domain == *own
+    };
+    let weight = |node| routing::weight(b"watcher", own.as_str().as_bytes(), node);
+    let mine = weight(context.node);
+    let ahead = view.iter().filter(alive).filter(|r| weight(r.node) > mine);
+    ahead.count() < WATCHERS
+}
--- /dev/null
+++ b/crates/node/src/http_platform.rs
@@ -0,0 +1,89 @@
+//! The platform's service over HTTP/1.1, one connection a call.
+
+use std::{net::SocketAddr, time::Duration};
+
+use base::unit::Generation;
+use bytes::Bytes;
+use http::{Request, StatusCode, header};
+use http_body_util::Empty;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use wire::platform;
+
+use crate::{
+    edge::{self, Pending, PlatformError},
+    http_body,
+};
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+/// One byte more than a value may have, so that a larger one is seen to be too large.
+const VALUE_LIMIT: usize = config::deployment::SIZE_LIMIT + 1;
+const LIST_LIMIT: usize = 8 << 20;
+
+/// Client of the platform's service.
+#[derive(Debug)]
+pub struct Client {
+    address: SocketAddr,
+}
+
+impl Client {
+    /// A client of the service at `address`.
+    pub fn new(address: SocketAddr) -> Client {
+        Client { address }
+    }
+}
+
+impl edge::Platform for Client {
+    fn config(
+        &self,
+        after: Generation,
+        wait: Duration,
+    ) -> Pending<'static, Result<Option<Vec<u8>>, PlatformError>> {
+        let path = platform::config(after, wait.as_millis() as u64);
+        let call = call(self.address, path, VALUE_LIMIT);
+        Box::pin(async move { within(wait + CALL_TIMEOUT, call).await })
+    }
+
+    fn vms(&self) -> Pending<'static, Result<Vec<platform::Vm>, PlatformError>> {
+        let call = call(self.address, platform::VMS.to_owned(), LIST_LIMIT);
+        Box::pin(async move {
+            let body = within(CALL_TIMEOUT, call).await?.unwrap_or_default();
+            platform::parse_vms(&body).map_err(|e| PlatformError(e.to_string()))
+        })
+    }
+}
+
+async fn within<T>(
+    limit: Duration,
+    call: impl Future<Output = Result<T, PlatformError>>,
+) -> Result<T, PlatformError> {
+    let result = tokio::time::timeout(limit, call).await;
+    result.map_err(|_| PlatformError("no answer in time".to_owned()))?
+}
+
+async fn call(
+    address: SocketAddr,
+    path: String,
+    limit: usize,
+) -> Result<Option<Vec<u8>>, PlatformError> {
+    let failed = |e: &dyn std::fmt::Display| PlatformError(e.to_string());
+    let stream = TcpStream::connect(address).await.map_err(|e| failed(&e))?;
+    let (mut sender, connection) =
+        http1::handshake(TokioIo::new(stream)).await.map_err(|e| failed(&e))?;
+    let driver = tokio::spawn(connection);
+    let request = Request::get(path)
+        .header(header::HOST, address.to_string())
+        .body(Empty::<Bytes>::new())
+        .map_err(|e| failed(&e))?;
+    let response = sender.send_request(request).await.map_err(|e| failed(&e))?;
+    let status = response.status();
+    let body = http_body::read(response.into_body(), limit).await;
+    driver.abort();
+    let body = body.map_err(|_| PlatformError("value truncated or too large".to_owned()))?;
+    match status {
+        StatusCode::OK => Ok(Some(body.to_vec())),
+        StatusCode::NO_CONTENT => Ok(None),
+        other => Err(PlatformError(other.to_string())),
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,27 @@
+//! A node of the query tier: roots, leaves, membership and configuration, running on tokio.
+//!
+//! The decisions are made by the `policy` crate; this crate runs them. It must not know of
+//! command lines or of the stand-ins used in tests: everything outside of the process is
+//! reached through the traits of [`edge`].
+
+pub mod configuration;
+pub mod context;
+pub mod counter;
+pub mod edge;
+pub mod fleet;
+pub mod home;
+pub mod http_platform;
+pub mod http_server;
+pub mod http_upstream;
+pub mod leaf;
+pub mod node;
+pub mod operator;
+pub mod root;
+pub mod server;
+pub mod tarpc_peer;
+pub mod trace;
+pub mod udp;
+
+mod http_body;
+mod io;
+mod slot;
--- /dev/null
+++ b/crates/node/src/root.rs
@@ -0,0 +1,715 @@
+//! Root role: admits a caller's search, plans it, spreads it over leaves, merges the answer.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use base::{
+    hash::{self, FastMap},
+    id,
+    keyspace::{Range, Set},
+    unit::{Generation, Share, Version},
+};
+use config::{
+    deployment::{Class, Coverage, Deployment, Service},
+    settings::Routing,
+};
+use futures::{StreamExt, stream::FuturesUnordered};
+use parking_lot::Mutex;
+use policy::{
+    admission::{Gate, Pass},
+    coverage::{self, Part},
+    membership::Status,
+    outcome::{Fate, Outcome, Reason},
+    replica::Window,
+    routing, version,
+};
+use tracing::Instrument;
+use wire::{
+    answer::{self, Hit, Snapshot},
+    caller,
+    peer::{self, Section, Slice},
+};
+
+use crate::{
+    context::Context,
+    counter::Name,
+    edge::{PeerError, Pending},
+    leaf::Leaf,
+    trace,
+};
+
+/// Time kept back at each hop for the way back.
+const HOP_MARGIN: Duration = Duration::from_millis(2);
+/// Searches planned again for a newer version.
+const RESTARTS: u32 = 2;
+/// Leaves asked for one group.
+const LEAVES: usize = 3;
+/// Share of the time left after which a silent leaf's groups are asked for elsewhere.
+const SILENCE: f64 = 0.5;
+/// Time for a leaf to tell the windows of its groups.
+const WINDOWS_TIMEOUT: Duration = Duration::from_millis(20);
+/// Age from which known windows are refreshed beside a query.
+const WINDOWS_AGE: Duration = Duration::from_secs(1);
+
+/// The root of one node.
+#[derive(Debug)]
+pub struct Root {
+    context: Arc<Context>,
+    leaf: Arc<Leaf>,
+    gate: Mutex<Gate>,
+    windows: Mutex<FastMap<(id::Service, Generation), Known>>,
+}
+
+/// Windows of a service's groups, as last heard of.
+#[derive(Debug, Clone)]
+struct Known {
+    windows: Vec<Option<Window>>,
+    at: Instant,
+}
+
+/// What stays fixed while a query runs.
+#[derive(Debug, Clone)]
+struct Plan {
+    scopes: Vec<Scope>,
+    rank: u8,
+    idempotent: bool,
+    fingerprint: u64,
+    limit: usize,
+    body: Arc<str>,
+    deadline: Instant,
+}
+
+/// One service of a plan.
+#[derive(Debug, Clone)]
+struct Scope {
+    service: Arc<Service>,
+    version: Option<Version>,
+}
+
+/// One group of a plan: index of its scope, and the group within its service.
+type Target = (usize, id::Group);
+
+impl Plan {
+    fn targets(&self) -> Vec<Target> {
+        let of = |(i, s): (usize, &Scope)| {
+            (0..s.service.groups.len()).map(move |g| (i, id::Group(g as u16)))
+        };
+        self.scopes.iter().enumerate().flat_map(of).collect()
+    }
+
+    fn range(&self, (scope, group): Target) -> Range {
+        self.scopes[scope].service.groups[usize::from(group.0)].range
+    }
+}
+
+/// Progress of one group.
+#[derive(Debug)]
+struct Progress {
+    target: Target,
+    best: Option<Slice>,
+    /// Leaves not yet asked, in order of preference.
+    leaves: Vec<id::Node>,
+    pending: usize,
+    fate: Fate,
+    reason: Option<Reason>,
+}
+
+/// One leaf's answer for some groups.
+struct Reply {
+    /// Indices into the progress of the query.
+    asked: Vec<usize>,
+    result: Result<Vec<Slice>, PeerError>,
+}
+
+enum Event {
+    Reply(Reply),
+    /// These groups' leaf has been silent for long.
+    Silent(Vec<usize>),
+}
+
+impl Root {
+    /// A root that may use `leaf` as the one in its own process.
+    pub fn new(context: Arc<Context>, leaf: Arc<Leaf>) -> Root {
+        let gate = Gate::new(context.settings.requests);
+        Root { context, leaf, gate: Mutex::new(gate), windows: Mutex::default() }
+    }
+
+    /// Limit on requests of classes that do not go first.
+    pub fn lower_limit(&self) -> usize {
+        self.gate.lock().lower_limit()
+    }
+
+    /// Answers a search.
+    ///
+    /// An error means that the request was not understood and has not run.
+    pub async fn search(&self, call: caller::Search) -> Result<answer::Search, caller::Error> {
+        let arrived = self.context.now();
+        let Some(value) = self.context.config() else {
+            return Ok(self.count(answer::Search::refused(Outcome::NotRun, Reason::NotReady)));
+        };
+        if call.services.is_empty() {
+            return Err(caller::Error::new("services", "none given".to_owned()));
+        }
+        let mut scopes = Vec::new();
+        for (i, name) in call.services.iter().enumerate() {
+            check(&value.deployment, &call.caller, &call.class, name, false)?;
+            if call.services[..i].contains(name) {
+                return Err(caller::Error::new("services", format!("{name} stands twice")));
+            }
+            let service = value.deployment.service(name);
+            let service = service.ok_or_else(|| unknown_service(name))?;
+            scopes.push(Scope { service: Arc::new(service.clone()), version: None });
+        }
+        let class = check(&value.deployment, &call.caller, &call.class, &call.services[0], false)?;
+        let limit = call.limit.unwrap_or(caller::HITS_DEFAULT);
+        if limit == 0 || limit > caller::HITS_LIMIT {
+            let reason = format!("read {limit}, allowed 1 to {}", caller::HITS_LIMIT);
+            return Err(caller::Error::new("limit", reason));
+        }
+        let deadline = arrived + allowed_time(class, call.deadline_ms)?;
+        let fingerprint = fingerprint(&call.query);
+        if self.context.is_suspect(fingerprint) {
+            return Ok(self.count(answer::Search::refused(Outcome::NotRun, Reason::Quarantined)));
+        }
+        let Some(admitted) = self.admit(class.rank) else {
+            return Ok(self.count(answer::Search::refused(Outcome::NotRun, Reason::Overload)));
+        };
+        let plan = Plan {
+            scopes,
+            rank: class.rank,
+            idempotent: true,
+            fingerprint,
+            limit,
+            body: call.query.into(),
+            deadline: deadline.checked_sub(HOP_MARGIN).unwrap_or(deadline),
+        };
+        let answer = self.run(plan, class.coverage).await;
+        admitted.settle(answer.reason);
+        Ok(self.count(answer))
+    }
+
+    /// Runs a non-idempotent request on the group that holds `key`, with one attempt.
+    pub async fn execute(
+        &self,
+        service: &Service,
+        class: &Class,
+        key: &str,
+        body: &str,
+        deadline: Instant,
+    ) -> Result<Slice, (Reason, Fate)> {
+        let fingerprint = fingerprint(body);
+        if self.context.is_suspect(fingerprint) {
+            return Err((Reason::Quarantined, Fate::NotRun));
+        }
+        let admitted = self.admit(class.rank).ok_or((Reason::Overload, Fate::NotRun))?;
+        let place = base::keyspace::place(key.as_bytes());
+        let index = service.groups.iter().position(|g| g.range.contains(place)).unwrap_or(0);
+        let group = id::Group(index as u16);
+        let version = match service.versioned {
+            true => Some(
+                self.version(service, false).await.ok_or((Reason::Unreachable, Fate::NotRun))?,
+            ),
+            false => None,
+        };
+        let plan = Plan {
+            scopes: vec![Scope { service: Arc::new(service.clone()), version }],
+            rank: class.rank,
+            idempotent: false,
+            fingerprint,
+            limit: 1,
+            body: body.into(),
+            deadline: deadline.checked_sub(HOP_MARGIN).unwrap_or(deadline),
+        };
+        let leaf = self.leaves(service, group, &self.cells()).first().copied();
+        let leaf = leaf.unwrap_or(self.context.node);
+        let left = plan.deadline.saturating_duration_since(self.context.now());
+        let asked = tokio::time::timeout(left, self.ask(&plan, leaf, vec![0], &[(0, group)])).await;
+        let result = match asked {
+            Err(_) => Err((Reason::Deadline, Fate::MayHaveRun)),
+            Ok(Reply { result: Ok(mut slices), .. }) if slices.len() == 1 => {
+                let slice = slices.remove(0);
+                match slice.part.reason {
+                    Some(reason) if slice.hits.is_empty() => Err((reason, slice.part.fate)),
+                    _ => Ok(slice),
+                }
+            }
+            Ok(Reply { result, .. }) => Err(of_peer(result.err())),
+        };
+        admitted.settle(result.as_ref().err().map(|(reason, _)| *reason));
+        result
+    }
+
+    fn admit(&self, rank: u8) -> Option<Admitted<'_>> {
+        let pass = self.gate.lock().enter(rank);
+        match pass {
+            Some(pass) => Some(Admitted { root: self, pass: Some(pass) }),
+            None => {
+                self.context.counters.count(Name::AdmissionRefused);
+                None
+            }
+        }
+    }
+
+    fn count(&self, mut answer: answer::Search) -> answer::Search {
+        self.context.counters.count(match answer.outcome {
+            Outcome::Complete => Name::SearchComplete,
+            Outcome::Partial => Name::SearchPartial,
+            Outcome::NotRun => Name::SearchNotRun,
+            Outcome::Unknown => Name::SearchUnknown,
+        });
+        answer.trace = trace::current_id(&self.context);
+        answer
+    }
+
+    async fn run(&self, mut plan: Plan, rule: Coverage) -> answer::Search {
+        let mut fate = Fate::NotRun;
+        let mut restarts = 0;
+        loop {
+            if !self.fix_versions(&mut plan, restarts > 0).await {
+                let outcome = Outcome::unanswered(fate);
+                return answer::Search::refused(outcome, Reason::Unreachable);
+            }
+            let slices = self.fan_out(&plan, rule).await;
+            fate = slices.iter().fold(fate, |f, s| f.and(s.part.fate));
+            let gone = slices.iter().any(|s| s.part.reason == Some(Reason::Version));
+            let time_left = plan.deadline > self.context.now() + HOP_MARGIN;
+            if gone && time_left && restarts < RESTARTS && self.newer_exists(&plan).await {
+                restarts += 1;
+                self.context.counters.count(Name::SearchRestarted);
+                continue;
+            }
+            return merge(&plan, slices, rule, fate);
+        }
+    }
+
+    /// Fixes the versions of a plan; returns false if one cannot be learned in time.
+    async fn fix_versions(&self, plan: &mut Plan, fresh: bool) -> bool {
+        let left = plan.deadline.saturating_duration_since(self.context.now());
+        let versions = plan.scopes.iter().map(|s| async move {
+            match s.service.versioned {
+                true => self.version(&s.service, fresh).await.map(Some),
+                false => Some(None),
+            }
+        });
+        let versions = tokio::time::timeout(left, futures::future::join_all(versions)).await;
+        let Ok(versions) = versions else { return false };
+        for (scope, version) in plan.scopes.iter_mut().zip(versions) {
+            let Some(version) = version else { return false };
+            scope.version = version;
+        }
+        true
+    }
+
+    async fn newer_exists(&self, plan: &Plan) -> bool {
+        let mut fresh = plan.clone();
+        let known = self.fix_versions(&mut fresh, true).await;
+        let changed = |(a, b): (&Scope, &Scope)| a.version != b.version;
+        known && plan.scopes.iter().zip(&fresh.scopes).any(changed)
+    }
+
+    /// Version to plan with; asks the leaves if some group's window is not known, or `fresh`.
+    async fn version(&self, service: &Service, fresh: bool) -> Option<Version> {
+        let key = (service.name.clone(), service.map);
+        let known = self.windows.lock().get(&key).cloned();
+        let now = self.context.now();
+        let complete = known.as_ref().filter(|k| k.windows.iter().all(Option::is_some));
+        match complete {
+            Some(known) if !fresh && now.saturating_duration_since(known.at) < WINDOWS_AGE => {
+                version::choose(&known.windows)
+            }
+            _ => {
+                let windows = self.ask_windows(service).await;
+                self.windows.lock().insert(key, Known { windows: windows.clone(), at: now });
+                version::choose(&windows)
+            }
+        }
+    }
+
+    async fn ask_windows(&self, service: &Service) -> Vec<Option<Window>> {
+        let cells = self.cells();
+        let mut by_leaf: BTreeMap<id::Node, Vec<id::Group>> = BTreeMap::new();
+        for index in 0..service.groups.len() {
+            let group = id::Group(index as u16);
+            if let Some(leaf) = self.leaves(service, group, &cells).first() {
+                by_leaf.entry(*leaf).or_default().push(group);
+            }
+        }
+        let asked = by_leaf.into_iter().map(|(node, groups)| async move {
+            let answer = if node == self.context.node {
+                Ok(self.leaf.windows(&service.name, &groups).await)
+            } else {
+                let asked =
+                    self.context.edges.peer.windows(node, service.name.clone(), groups.clone());
+                let answer = tokio::time::timeout(WINDOWS_TIMEOUT, asked).await;
+                answer.unwrap_or(Err(PeerError::Lost))
+            };
+            match answer {
+                Ok(windows) => (groups, windows),
+                // A dead leaf must not keep the query from being planned.
+                Err(_) => {
+                    let windows = self.leaf.windows(&service.name, &groups).await;
+                    (groups, windows)
+                }
+            }
+        });
+        let mut all = vec![None; service.groups.len()];
+        for (groups, windows) in futures::future::join_all(asked).await {
+            for (group, window) in groups.into_iter().zip(windows) {
+                all[usize::from(group.0)] = window;
+            }
+        }
+        all
+    }
+
+    /// Nodes that may be leaves: those of the own failure domain, then those of the others.
+    fn cells(&self) -> Vec<Vec<id::Node>> {
+        let context = &self.context;
+        if context.settings.routing == Routing::Direct {
+            return vec![vec![context.node]];
+        }
+        let mut domains: BTreeMap<&id::Domain, Vec<id::Node>> = BTreeMap::new();
+        let view = context.view();
+        for record in view.iter().filter(|r| r.status == Status::Alive && !r.leaving) {
+            domains.entry(&record.domain).or_default().push(record.node);
+        }
+        let mut own = domains.remove(&context.settings.domain).unwrap_or_default();
+        own.push(context.node);
+        std::iter::once(own).chain(domains.into_values()).collect()
+    }
+
+    fn leaves(
+        &self,
+        service: &Service,
+        group: id::Group,
+        cells: &[Vec<id::Node>],
+    ) -> Vec<id::Node> {
+        let ranked: Vec<Vec<id::Node>> =
+            cells.iter().map(|nodes| routing::leaves(&service.name, group, nodes)).collect();
+        // The first choice of each cell comes before the second choice of any.
+        let depth = ranked.iter().map(Vec::len).max().unwrap_or(0);
+        let rounds = (0..depth).flat_map(|i| ranked.iter().filter_map(move |r| r.get(i)));
+        rounds.copied().take(LEAVES).collect()
+    }
+
+    async fn fan_out(&self, plan: &Plan, rule: Coverage) -> Vec<Slice> {
+        let mut progress = self.progress(plan);
+        let mut events: FuturesUnordered<Waiting<'_>> = FuturesUnordered::new();
+        let all: Vec<usize> = (0..progress.len()).collect();
+        self.assign(plan, &mut progress, &all, &mut events);
+        let left = plan.deadline.saturating_duration_since(self.context.now());
+        let deadline = tokio::time::sleep(left);
+        tokio::pin!(deadline);
+        while progress.iter().any(|p| p.pending > 0) && !hopeless(plan, rule, &progress) {
+            tokio::select! {
+                biased;
+                Some(event) = events.next() => {
+                    let again = self.take(plan, &mut progress, event);
+                    self.assign(plan, &mut progress, &again, &mut events);
+                }
+                () = &mut deadline => break,
+            }
+        }
+        drop(events);
+        progress.into_iter().map(|p| finish(plan, p)).collect()
+    }
+
+    fn progress(&self, plan: &Plan) -> Vec<Progress> {
+        let cells = self.cells();
+        let of = |target: Target| {
+            let mut leaves = self.leaves(&plan.scopes[target.0].service, target.1, &cells);
+            leaves.reverse();
+            Progress { target, best: None, leaves, pending: 0, fate: Fate::NotRun, reason: None }
+        };
+        plan.targets().into_iter().map(of).collect()
+    }
+
+    /// Asks the next leaf of each of the groups `asked`; one message to each leaf.
+    fn assign<'a>(
+        &'a self,
+        plan: &Plan,
+        progress: &mut [Progress],
+        asked: &[usize],
+        events: &mut FuturesUnordered<Waiting<'a>>,
+    ) {
+        let mut by_leaf: BTreeMap<id::Node, Vec<usize>> = BTreeMap::new();
+        for index in asked {
+            let progress = &mut progress[*index];
+            if let Some(leaf) = progress.leaves.pop() {
+                progress.pending += 1;
+                by_leaf.entry(leaf).or_default().push(*index);
+            }
+        }
+        let left = plan.deadline.saturating_duration_since(self.context.now());
+        for (leaf, asked) in by_leaf {
+            let silent = asked.clone();
+            let span = tracing::info_span!("leaf", node = %leaf, groups = asked.len());
+            let targets: Vec<Target> = asked.iter().map(|i| progress[*i].target).collect();
+            // Made within the span, so that the hop continues it.
+            let ask = span.in_scope(|| self.ask(plan, leaf, asked, &targets));
+            let ask = async move { Event::Reply(ask.await) };
+            events.push(Box::pin(ask.instrument(span)));
+            if leaf != self.context.node {
+                events.push(Box::pin(async move {
+                    tokio::time::sleep(left.mul_f64(SILENCE)).await;
+                    Event::Silent(silent)
+                }));
+            }
+        }
+    }
+
+    /// Takes an event in; returns the groups to ask another leaf for.
+    fn take(&self, plan: &Plan, progress: &mut [Progress], event: Event) -> Vec<usize> {
+        let again: Vec<usize> = match event {
+            Event::Silent(asked) => {
+                let open = |i: &usize| progress[*i].pending > 0 && progress[*i].best.is_none();
+                asked.into_iter().filter(open).collect()
+            }
+            Event::Reply(Reply { asked, result: Ok(slices) }) if slices.len() == asked.len() => {
+                for (index, slice) in asked.into_iter().zip(slices) {
+                    self.learn(plan, progress[index].target, &slice);
+                    progress[index].take(slice);
+                }
+                Vec::new()
+            }
+            Event::Reply(Reply { asked, result }) => {
+                let (reason, fate) = of_peer(result.err());
+                for index in &asked {
+                    let p = &mut progress[*index];
+                    p.pending -= 1;
+                    p.fate = p.fate.and(fate);
+                    p.reason = Some(reason);
+                }
+                asked
+            }
+        };
+        self.context.counters.add(Name::LeafReassigned, again.len() as u64);
+        again
+    }
+
+    fn learn(&self, plan: &Plan, (scope, group): Target, slice: &Slice) {
+        let service = &plan.scopes[scope].service;
+        if !service.versioned || slice.window.is_none() {
+            return;
+        }
+        let key = (service.name.clone(), service.map);
+        let mut windows = self.windows.lock();
+        let Some(known) = windows.get_mut(&key) else { return };
+        known.at = self.context.now();
+        if let Some(entry) = known.windows.get_mut(usize::from(group.0)) {
+            *entry = slice.window;
+        }
+    }
+
+    fn ask<'a>(
+        &'a self,
+        plan: &Plan,
+        leaf: id::Node,
+        asked: Vec<usize>,
+        targets: &[Target],
+    ) -> Pending<'a, Reply> {
+        let left = plan.deadline.saturating_duration_since(self.context.now());
+        let remaining = left.checked_sub(HOP_MARGIN).unwrap_or_default();
+        let request = peer::Search {
+            hello: self.context.hello(),
+            sections: sections(plan, targets),
+            rank: plan.rank,
+            idempotent: plan.idempotent,
+            fingerprint: plan.fingerprint,
+            limit: plan.limit,
+            body: plan.body.to_string(),
+            remaining_ms: remaining.as_millis() as u64,
+        };
+        Box::pin(async move {
+            let result = if leaf == self.context.node {
+                self.leaf.search(request).await.map_err(PeerError::Refused)
+            } else {
+                self.context.edges.peer.search(leaf, request).await
+            };
+            Reply { asked, result }
+        })
+    }
+}
+
+type Waiting<'a> = Pending<'a, Event>;
+
+impl Progress {
+    fn take(&mut self, slice: Slice) {
+        self.pending -= 1;
+        self.fate = self.fate.and(slice.part.fate);
+        let better = |best: &Slice| slice.part.covered.len() > best.part.covered.len();
+        if self.best.as_ref().is_none_or(better) {
+            self.best = Some(slice);
+        }
+    }
+}
+
+/// The sections of a message for `targets`, which are in plan order.
+fn sections(plan: &Plan, targets: &[Target]) -> Vec<Section> {
+    let mut sections: Vec<(usize, Section)> = Vec::new();
+    for (scope, group) in targets {
+        match sections.last_mut() {
+            Some((last, section)) if last == scope => section.groups.push(*group),
+            _ => {
+                let Scope { service, version } = &plan.scopes[*scope];
+                let (service, map) = (service.name.clone(), service.map);
+                let section = Section { service, map, version: *version, groups: vec![*group] };
+                sections.push((*scope, section));
+            }
+        }
+    }
+    sections.into_iter().map(|(_, section)| section).collect()
+}
+
+/// A request that holds its place in the admission limit until dropped.
+struct Admitted<'a> {
+    root: &'a Root,
+    pass: Option<Pass>,
+}
+
+impl Admitted<'_> {
+    fn settle(mut self, reason: Option<Reason>) {
+        if let Some(pass) = self.pass.take() {
+            self.root.gate.lock().leave(pass, reason);
+        }
+    }
+}
+
+impl Drop for Admitted<'_> {
+    fn drop(&mut self) {
+        if let Some(pass) = self.pass.take() {
+            self.root.gate.lock().leave(pass, None);
+        }
+    }
+}
+
+/// Whether too much has failed for an answer under `rule`; waiting longer is then no use.
+fn hopeless(plan: &Plan, rule: Coverage, progress: &[Progress]) -> bool {
+    let mut all = 0;
+    let mut reachable = 0;
+    for p in progress {
+        let reason = p.best.as_ref().and_then(|b| b.part.reason);
+        if reason == Some(Reason::Version) {
+            return true;
+        }
+        let keys = u64::from(plan.range(p.target).len());
+        let held = p.best.as_ref().map_or(0, |b| u64::from(b.part.covered.len()));
+        let over = p.pending == 0 && (p.best.is_none() || reason.is_some());
+        all += keys;
+        reachable += if over { held } else { keys };
+    }
+    Share::new(reachable, all) < rule.least()
+}
+
+fn finish(plan: &Plan, progress: Progress) -> Slice {
+    let pending = if progress.pending > 0 { Fate::MayHaveRun } else { Fate::NotRun };
+    let fate = progress.fate.and(pending);
+    if let Some(mut slice) = progress.best {
+        slice.part.fate = fate.and(slice.part.fate);
+        return slice;
+    }
+    let reason = progress.reason.filter(|_| progress.pending == 0).unwrap_or(Reason::Deadline);
+    let part = Part {
+        service: plan.scopes[progress.target.0].service.name.clone(),
+        group: progress.target.1,
+        range: plan.range(progress.target),
+        covered: Set::new(),
+        reason: Some(reason),
+        fate,
+    };
+    Slice::missing(part, reason)
+}
+
+fn merge(plan: &Plan, slices: Vec<Slice>, rule: Coverage, fate: Fate) -> answer::Search {
+    let (parts, hits): (Vec<Part>, Vec<Vec<Hit>>) =
+        slices.into_iter().map(|s| (s.part, s.hits)).unzip();
+    let mut summary = coverage::summarize(&parts);
+    summary.fate = summary.fate.and(fate);
+    let (outcome, reason) = coverage::judge(rule, &summary);
+    let mut hits: Vec<Hit> = match reason {
+        Some(_) => Vec::new(),
+        None => hits.into_iter().flatten().collect(),
+    };
+    hits.sort_by(|a, b| b.score.total_cmp(&a.score).then_with(|| a.document.cmp(&b.document)));
+    hits.truncate(plan.limit);
+    let snapshot = |s: &Scope| Snapshot {
+        service: s.service.name.clone(),
+        map: s.service.map,
+        version: s.version,
+    };
+    answer::Search {
+        outcome,
+        reason,
+        retry_after_ms: reason.and_then(Reason::retry_after).map(|d| d.as_millis() as u64),
+        snapshot: plan.scopes.iter().map(snapshot).collect(),
+        coverage: if reason.is_some() { Share::ZERO } else { summary.share },
+        missing: summary.gaps,
+        hits,
+        trace: Default::default(),
+    }
+}
+
+fn of_peer(error: Option<PeerError>) -> (Reason, Fate) {
+    match error {
+        Some(PeerError::Unreached) => (Reason::Unreachable, Fate::NotRun),
+        Some(PeerError::Refused(peer::Refusal::Map)) => (Reason::Version, Fate::NotRun),
+        Some(PeerError::Refused(_)) => (Reason::Overload, Fate::NotRun),
+        // An answer that does not fit its request says nothing of what ran.
+        Some(PeerError::Lost) | None => (Reason::Lost, Fate::MayHaveRun),
+    }
+}
+
+/// Fingerprint of a request's text, the same for texts that differ in white space only.
+fn fingerprint(body: &str) -> u64 {
+    let words: Vec<&str> = body.split_whitespace().collect();
+    hash::stable(&[words.join(" ").as_bytes()])
+}
+
+fn unknown_service(name: &id::Service) -> caller::Error {
+    caller::Error::new("services", format!("{name} is not known"))
+}
+
+/// Checks that `caller` may use `class` on `service`, and that the class suits the request.
+pub(crate) fn check<'a>(
+    deployment: &'a Deployment,
+    caller: &id::Caller,
+    class: &id::Class,
+    service: &id::Service,
+    at_most_once: bool,
+) -> Result<&'a Class, caller::Error> {
+    let known = deployment.callers.iter().find(|c| c.name == *caller);
+    let known =
+        known.ok_or_else(|| caller::Error::new("caller", format!("{caller} is not known")))?;
+    if !known.classes.contains(class) {
+        let allowed: Vec<&str> = known.classes.iter().map(id::Class::as_str).collect();
+        let reason = format!("read {class:?}, allowed {}", allowed.join(", "));
+        return Err(caller::Error::new("class", reason));
+    }
+    let class = deployment
+        .class(class)
+        .ok_or_else(|| caller::Error::new("class", format!("{class} is not known")))?;
+    if !class.services.contains(service) {
+        let allowed: Vec<&str> = class.services.iter().map(id::Service::as_str).collect();
+        let reason = format!("read {service:?}, allowed {}", allowed.join(", "));
+        return Err(caller::Error::new("service", reason));
+    }
+    if class.at_most_once != at_most_once {
+        let path = if class.at_most_once { caller::RUN } else { caller::SEARCH };
+        return Err(caller::Error::new("class", format!("{} is served at {path}", class.name)));
+    }
+    Ok(class)
+}
+
+/// Time that a request may take: what it asks for, and no more than its class allows.
+pub(crate) fn allowed_time(
+    class: &Class,
+    asked_ms: Option<u64>,
+) -> Result<Duration, caller::Error> {
+    match asked_ms {
+        Some(0) => Err(caller::Error::new("deadline_ms", "read 0, allowed 1 and up".to_owned())),
+        Some(ms) => Ok(class.deadline().min(Duration::from_millis(ms))),
+        None => Ok(class.deadline()),
+    }
+}
--- /dev/null
+++ b/crates/node/src/tarpc_peer.rs
@@ -0,0 +1,249 @@
+//! Requests between nodes over tarpc: client with one connection to each peer, and server.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use base::{hash::FastMap, id};
+use futures::StreamExt;
+use parking_lot::Mutex;
+use policy::{adoption::Stamp, membership::Record, replica::Window};
+use tarpc::{
+    client,
+    client::RpcError,
+    context,
+    server::{BaseChannel, Channel},
+    tokio_serde::formats::Bincode,
+    tokio_util::codec::{Framed, LengthDelimitedCodec},
+};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+use wire::{
+    answer, heartbeat,
+    peer::{self, Hello, Node as _, NodeClient, Refusal, Search, Slice, Value},
+};
+
+use crate::{
+    counter::Name,
+    edge::{self, PeerError, Pending},
+    node::Node,
+};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for calls that carry no deadline of a caller's.
+const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Requests of one peer that are served at a time.
+const IN_FLIGHT_LIMIT: usize = 4_096;
+/// Requests to one peer that wait for their answer.
+const PENDING_LIMIT: usize = 4_096;
+
+/// Client for all peers.
+#[derive(Debug)]
+pub struct Client {
+    hello: Hello,
+    links: Arc<Mutex<FastMap<id::Node, NodeClient>>>,
+}
+
+impl Client {
+    /// A client of nodes in `deployment`.
+    pub fn new(deployment: id::Deployment) -> Client {
+        let hello = Hello { protocol: heartbeat::PROTOCOL, deployment };
+        Client { hello, links: Arc::default() }
+    }
+
+    /// Calls `node` by `f`. A call is sent once; a broken connection is replaced for the next.
+    fn call<T, F, R>(
+        &self,
+        node: id::Node,
+        limit: Duration,
+        f: F,
+    ) -> Pending<'static, Result<T, PeerError>>
+    where
+        T: Send + 'static,
+        F: FnOnce(NodeClient, context::Context) -> R + Send + 'static,
+        R: Future<Output = Result<Result<T, Refusal>, RpcError>> + Send,
+    {
+        let links = self.links.clone();
+        Box::pin(async move {
+            let link = link(&links, node).await?;
+            let mut context = context::current();
+            context.deadline = Instant::now() + limit;
+            match f(link, context).await {
+                Ok(Ok(value)) => Ok(value),
+                Ok(Err(refusal)) => Err(PeerError::Refused(refusal)),
+                Err(RpcError::DeadlineExceeded) => Err(PeerError::Lost),
+                Err(_) => {
+                    links.lock().remove(&node);
+                    Err(PeerError::Lost)
+                }
+            }
+        })
+    }
+}
+
+async fn link(
+    links: &Mutex<FastMap<id::Node, NodeClient>>,
+    node: id::Node,
+) -> Result<NodeClient, PeerError> {
+    if let Some(link) = links.lock().get(&node) {
+        return Ok(link.clone());
+    }
+    let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(node.0)).await;
+    let stream = connecting.ok().and_then(Result::ok).ok_or(PeerError::Unreached)?;
+    stream.set_nodelay(true).map_err(|_| PeerError::Unreached)?;
+    let transport = tarpc::serde_transport::new(Framed::new(stream, codec()), Bincode::default());
+    let mut config = client::Config::default();
+    config.pending_request_buffer = PENDING_LIMIT;
+    config.max_in_flight_requests = PENDING_LIMIT;
+    let link = NodeClient::new(config, transport).spawn();
+    links.lock().insert(node, link.clone());
+    Ok(link)
+}
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(peer::FRAME_LIMIT).new_codec()
+}
+
+impl edge::Peer for Client {
+    fn search(
+        &self,
+        node: id::Node,
+        request: Search,
+    ) -> Pending<'static, Result<Vec<Slice>, PeerError>> {
+        let limit = Duration::from_millis(request.remaining_ms);
+        self.call(node, limit, |link, context| async move { link.search(context, request).await })
+    }
+
+    fn run(
+        &self,
+        node: id::Node,
+        request: peer::Run,
+    ) -> Pending<'static, Result<answer::Run, PeerError>> {
+        let limit = Duration::from_millis(request.remaining_ms);
+        self.call(node, limit, |link, context| async move { link.run(context, request).await })
+    }
+
+    fn windows(
+        &self,
+        node: id::Node,
+        service: id::Service,
+        groups: Vec<id::Group>,
+    ) -> Pending<'static, Result<Vec<Option<Window>>, PeerError>> {
+        let hello = self.hello.clone();
+        self.call(node, CONTROL_TIMEOUT, |link, context| async move {
+            link.windows(context, hello, service, groups).await
+        })
+    }
+
+    fn config(
+        &self,
+        node: id::Node,
+        have: Stamp,
+    ) -> Pending<'static, Result<Option<Value>, PeerError>> {
+        let hello = self.hello.clone();
+        self.call(node, CONTROL_TIMEOUT, move |link, context| async move {
+            link.config(context, hello, have).await
+        })
+    }
+
+    fn members(&self, node: id::Node) -> Pending<'static, Result<Vec<Record>, PeerError>> {
+        let hello = self.hello.clone();
+        self.call(node, CONTROL_TIMEOUT, |link, context| async move {
+            link.members(context, hello).await
+        })
+    }
+}
+
+/// Serves peers from `listener` until `cancel`.
+pub async fn serve(node: Arc<Node>, listener: TcpListener, cancel: CancellationToken) {
+    loop {
+        let accepted = tokio::select! {
+            biased;
+            () = cancel.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        tokio::spawn(connection(node.clone(), stream, cancel.clone()));
+    }
+}
+
+/// Pause after a failure to accept, as when file descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+async fn connection(node: Arc<Node>, stream: TcpStream, cancel: CancellationToken) {
+    // Without it, small messages wait for acknowledgements of earlier ones.
+    let _ = stream.set_nodelay(true);
+    let transport = tarpc::serde_transport::new(Framed::new(stream, codec()), Bincode::default());
+    let requests = BaseChannel::with_defaults(transport)
+        .max_concurrent_requests(IN_FLIGHT_LIMIT)
+        .execute(Server { node }.serve());
+    let served = requests.for_each(|request| async move {
+        tokio::spawn(request);
+    });
+    tokio::select! {
+        biased;
+        () = cancel.cancelled() => {}
+        () = served => {}
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Server {
+    node: Arc<Node>,
+}
+
+impl Server {
+    fn check(&self, hello: &Hello) -> Result<(), Refusal> {
+        let refusal = if hello.protocol != heartbeat::PROTOCOL {
+            Refusal::Protocol
+        } else if hello.deployment != self.node.context.settings.deployment {
+            Refusal::Foreign
+        } else {
+            return Ok(());
+        };
+        self.node.context.counters.count(Name::PeerRefused);
+        Err(refusal)
+    }
+}
+
+impl peer::Node for Server {
+    async fn search(self, _: context::Context, request: Search) -> Result<Vec<Slice>, Refusal> {
+        self.check(&request.hello)?;
+        self.node.leaf.search(request).await
+    }
+
+    async fn run(self, _: context::Context, request: peer::Run) -> Result<answer::Run, Refusal> {
+        self.check(&request.hello)?;
+        Ok(self.node.run_forwarded(request).await)
+    }
+
+    async fn windows(
+        self,
+        _: context::Context,
+        hello: Hello,
+        service: id::Service,
+        groups: Vec<id::Group>,
+    ) -> Result<Vec<Option<Window>>, Refusal> {
+        self.check(&hello)?;
+        Ok(self.node.leaf.windows(&service, &groups).await)
+    }
+
+    async fn config(
+        self,
+        _: context::Context,
+        hello: Hello,
+        have: Stamp,
+    ) -> Result<Option<Value>, Refusal> {
+        self.check(&hello)?;
+        Ok(self.node.config_above(have))
+    }
+
+    async fn members(self, _: context::Context, hello: Hello) -> Result<Vec<Record>, Refusal> {
+        self.check(&hello)?;
+        Ok(self.node.members())
+    }
+}
--- /dev/null
+++ b/crates/policy/src/address.rs
@@ -0,0 +1,34 @@
+//! Which nodes a caller is told to use.
+
+use base::{hash, id};
+
+/// Addresses in one answer.
+pub const COUNT: usize = 3;
+
+/// A node that may be named to callers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Candidate {
+    /// The node.
+    pub node: id::Node,
+    /// Its failure domain.
+    pub domain: id::Domain,
+}
+
+/// Chooses up to [`COUNT`] of `candidates` for the caller named `caller`.
+///
+/// One node of each failure domain comes before a second of any. The caller's name decides
+/// the order, so that callers spread evenly without coordination and keep their nodes.
+pub fn choose(caller: &str, candidates: &[Candidate]) -> Vec<Candidate> {
+    let weight = |c: &Candidate| hash::stable(&[caller.as_bytes(), c.node.to_string().as_bytes()]);
+    let mut ranked: Vec<(u64, &Candidate)> = candidates.iter().map(|c| (weight(c), c)).collect();
+    ranked.sort_by_key(|(w, c)| (*w, c.node));
+    let mut chosen: Vec<&Candidate> = Vec::new();
+    let mut rest = Vec::new();
+    for (_, candidate) in ranked {
+        match chosen.iter().any(|c| c.domain == candidate.domain) {
+            true => rest.push(candidate),
+            false => chosen.push(candidate),
+        }
+    }
+    chosen.into_iter().chain(rest).take(COUNT).cloned().collect()
+}
--- /dev/null
+++ b/crates/policy/src/adoption.rs
@@ -0,0 +1,96 @@
+//! Which published configuration is in force.
+
+use std::{cmp::Ordering, sync::Arc};
+
+use base::{hash, id, unit::Generation};
+use config::deployment::{self, Deployment};
+use serde::{Deserialize, Serialize};
+
+/// A checked configuration with its text.
+#[derive(Debug)]
+pub struct Value {
+    /// The configuration.
+    pub deployment: Deployment,
+    /// The published text.
+    pub bytes: Vec<u8>,
+    /// Where it stands among all values.
+    pub stamp: Stamp,
+}
+
+/// Place of a value in the order of adoption: by generation, then by content.
+///
+/// The content only decides between two values that were published under one generation by
+/// mistake, so that all nodes settle on the same one.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+pub struct Stamp {
+    /// The generation.
+    pub generation: Generation,
+    /// Hash of the text.
+    pub digest: u64,
+}
+
+/// What became of an offered value.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is in force now.
+    Adopted,
+    /// It is in force already.
+    Same,
+    /// It is older than the one in force.
+    Older,
+    /// It is not valid.
+    Refused(deployment::Error),
+}
+
+/// The configuration in force; it never goes back to an older one.
+#[derive(Debug)]
+pub struct Holder {
+    name: id::Deployment,
+    current: Option<Arc<Value>>,
+}
+
+impl Holder {
+    /// Holder for the deployment `name`, with nothing in force yet.
+    pub fn new(name: id::Deployment) -> Holder {
+        Holder { name, current: None }
+    }
+
+    /// The value in force.
+    pub fn current(&self) -> Option<&Arc<Value>> {
+        self.current.as_ref()
+    }
+
+    /// Place of the value in force; the lowest if there is none.
+    pub fn stamp(&self) -> Stamp {
+        self.current.as_ref().map(|v| v.stamp).unwrap_or_default()
+    }
+
+    /// Offers a published text.
+    pub fn offer(&mut self, bytes: &[u8]) -> Verdict {
+        let value = match self.check(bytes) {
+            Ok(value) => value,
+            Err(e) => return Verdict::Refused(e),
+        };
+        match value.stamp.cmp(&self.stamp()) {
+            Ordering::Less => Verdict::Older,
+            Ordering::Equal => Verdict::Same,
+            Ordering::Greater => {
+                self.current = Some(Arc::new(value));
+                Verdict::Adopted
+            }
+        }
+    }
+
+    fn check(&self, bytes: &[u8]) -> Result<Value, deployment::Error> {
+        let deployment = Deployment::parse(bytes)?;
+        if deployment.name != self.name {
+            let allowed = self.name.clone();
+            return Err(deployment::Error::Foreign { read: deployment.name, allowed });
+        }
+        let digest = hash::stable(&[bytes]);
+        let stamp = Stamp { generation: deployment.generation, digest };
+        Ok(Value { deployment, bytes: bytes.to_vec(), stamp })
+    }
+}
--- /dev/null
+++ b/crates/policy/src/group.rs
@@ -0,0 +1,742 @@
+//! Scheduler of one shard group at a leaf: order, replica choice, limits, hedges, retries.
+//!
+//! A job ends exactly once, with [`Action::Finish`]. Every attempt sent ends exactly once, by
+//! [`Group::reply`] or by [`Action::Cancel`], and gives its place back then.
+
+use std::{
+    collections::{BTreeSet, VecDeque},
+    time::{Duration, Instant},
+};
+
+use base::{hash::FastMap, id, unit::Version};
+use config::deployment::Server;
+use rand::{Rng, RngCore};
+
+use crate::{
+    budget::Budget,
+    latency::Quantile,
+    limit::Adaptive,
+    outcome::{Fate, Reason},
+    replica::{Replica, Window},
+};
+
+/// Jobs that wait in one group.
+pub const QUEUE_LIMIT: usize = 256;
+/// Ranks of classes; 0 goes first.
+pub const RANKS: usize = 2;
+/// Attempts of one job, hedges included.
+const ATTEMPT_LIMIT: u32 = 6;
+/// Quantile of the group's latency after which a hedge is sent.
+const HEDGE_QUANTILE: f64 = 0.98;
+/// Hedges allowed per job; the target is 3% extra load at most.
+const HEDGE_SHARE: f64 = 0.03;
+const HEDGE_SAVED: f64 = 5.0;
+/// Retries allowed per job; the target is 10% extra load at most after an outage.
+const RETRY_SHARE: f64 = 0.1;
+const RETRY_SAVED: f64 = 10.0;
+/// Time to learn of further losses before a job whose upstream was lost is sent again.
+const LOSS_CONFIRM: Duration = Duration::from_millis(10);
+/// Latency over the long-run median at which waiting inside the upstreams is assumed.
+const INFLATION: f64 = 2.0;
+
+/// Names a job within its group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Ticket(pub u64);
+
+/// A sub-request to be run by the group.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// Place in the order of service; 0 goes first.
+    pub rank: u8,
+    /// When the answer must be back at the leaf.
+    pub deadline: Instant,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+    /// Index version of the plan.
+    pub version: Option<Version>,
+    /// Fingerprint of the request's content.
+    pub fingerprint: u64,
+}
+
+/// How an attempt ended at its upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reply {
+    /// It ran and its whole reply is here.
+    Done,
+    /// It ran and failed.
+    Failed,
+    /// It was refused before running, for load.
+    Shed,
+    /// It was refused before running: the upstream leaves.
+    Draining,
+    /// It was refused before running: the version or map is not held.
+    VersionMissing,
+    /// Nothing of it left this node.
+    Unreached,
+    /// The connection was lost after something may have left.
+    Lost,
+    /// The reply was truncated or belonged to something else.
+    Bad,
+}
+
+impl Reply {
+    /// What the reply says of whether the attempt ran.
+    pub fn fate(self) -> Fate {
+        match self {
+            Reply::Done | Reply::Failed => Fate::Ran,
+            Reply::Shed | Reply::Draining | Reply::VersionMissing | Reply::Unreached => {
+                Fate::NotRun
+            }
+            Reply::Lost | Reply::Bad => Fate::MayHaveRun,
+        }
+    }
+
+    fn reason(self) -> Reason {
+        match self {
+            Reply::Done | Reply::Failed => Reason::Failed,
+            Reply::Shed => Reason::Overload,
+            Reply::Draining => Reason::Draining,
+            Reply::VersionMissing => Reason::Version,
+            Reply::Unreached => Reason::Unreachable,
+            Reply::Lost => Reason::Lost,
+            Reply::Bad => Reason::BadReply,
+        }
+    }
+}
+
+/// How a job ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// With the reply just handed in.
+    Done,
+    /// Without an answer.
+    Failed {
+        /// Why.
+        reason: Reason,
+        /// Whether any attempt may have run.
+        fate: Fate,
+    },
+}
+
+/// What the caller of the scheduler must do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Send an attempt.
+    Send {
+        /// The job.
+        ticket: Ticket,
+        /// The attempt.
+        attempt: id::Attempt,
+        /// Where to.
+        upstream: id::Upstream,
+    },
+    /// Cancel an attempt; its reply, if it still comes, must not be handed in.
+    Cancel {
+        /// The attempt.
+        attempt: id::Attempt,
+    },
+    /// Tell the end of a job.
+    Finish {
+        /// The job.
+        ticket: Ticket,
+        /// How it ended.
+        end: End,
+    },
+}
+
+/// Counts since the start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Jobs submitted.
+    pub jobs: u64,
+    /// Attempts sent.
+    pub attempts: u64,
+    /// Attempts sent as hedges.
+    pub hedges: u64,
+    /// Attempts sent as retries.
+    pub retries: u64,
+    /// Attempts refused by upstreams before running.
+    pub sheds: u64,
+    /// Jobs refused here without being sent.
+    pub refusals: u64,
+    /// Replies of no attempt in flight.
+    pub strays: u64,
+}
+
+#[derive(Debug)]
+struct State {
+    job: Job,
+    /// Attempts in flight, oldest first.
+    in_flight: Vec<id::Attempt>,
+    /// Replicas that this job has failed at.
+    tried: Vec<usize>,
+    attempts: u32,
+    fate: Fate,
+    reason: Option<Reason>,
+    queued: bool,
+    not_before: Option<Instant>,
+}
+
+#[derive(Debug)]
+struct Sent {
+    ticket: Ticket,
+    replica: usize,
+    at: Instant,
+    hedge: bool,
+}
+
+/// Switches for measuring what each mechanism contributes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Options {
+    /// Whether to send hedges.
+    pub hedge: bool,
+    /// Whether to hold lower ranks to an adaptive limit.
+    pub adaptive: bool,
+}
+
+impl Default for Options {
+    fn default() -> Options {
+        Options { hedge: true, adaptive: true }
+    }
+}
+
+/// Scheduler of one group.
+#[derive(Debug)]
+pub struct Group {
+    replicas: Vec<Replica>,
+    jobs: FastMap<Ticket, State>,
+    queues: [VecDeque<Ticket>; RANKS],
+    sent: FastMap<id::Attempt, Sent>,
+    timers: BTreeSet<(Instant, Ticket)>,
+    next: u64,
+    attempt_base: u64,
+    hedge_delay: Quantile,
+    median: Quantile,
+    baseline: Option<Duration>,
+    hedges: Budget,
+    retries: Budget,
+    lower_limit: Adaptive,
+    lower_in_flight: usize,
+    counts: Counts,
+    options: Options,
+}
+
+impl Group {
+    /// Scheduler over `replicas` of `slots` slots each. Attempts are numbered from
+    /// `attempt_base` on; different groups of a node need disjoint numbers.
+    pub fn new(replicas: Vec<Replica>, slots: u32, attempt_base: u64) -> Group {
+        let all_slots = slots * replicas.len() as u32;
+        Group {
+            replicas,
+            jobs: FastMap::default(),
+            queues: Default::default(),
+            sent: FastMap::default(),
+            timers: BTreeSet::new(),
+            next: 0,
+            attempt_base,
+            hedge_delay: Quantile::new(HEDGE_QUANTILE),
+            median: Quantile::new(0.5),
+            baseline: None,
+            hedges: Budget::new(HEDGE_SHARE, HEDGE_SAVED),
+            retries: Budget::new(RETRY_SHARE, RETRY_SAVED),
+            lower_limit: Adaptive::new(1, all_slots),
+            lower_in_flight: 0,
+            counts: Counts::default(),
+            options: Options::default(),
+        }
+    }
+
+    /// The same with some mechanisms switched off.
+    pub fn with_options(mut self, options: Options) -> Group {
+        self.options = options;
+        self
+    }
+
+    /// Counts since the start.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// The replicas.
+    pub fn replicas(&self) -> &[Replica] {
+        &self.replicas
+    }
+
+    /// The replica at `upstream`, to record what is learned outside of attempts.
+    pub fn replica_mut(&mut self, upstream: id::Upstream) -> Option<&mut Replica> {
+        self.replicas.iter_mut().find(|r| r.upstream == upstream)
+    }
+
+    /// The job that an attempt in flight belongs to.
+    pub fn ticket_of(&self, attempt: id::Attempt) -> Option<Ticket> {
+        self.sent.get(&attempt).map(|s| s.ticket)
+    }
+
+    /// Attempts in flight.
+    pub fn in_flight(&self) -> usize {
+        self.sent.len()
+    }
+
+    /// Jobs that wait.
+    pub fn queued(&self) -> usize {
+        self.queues.iter().map(VecDeque::len).sum()
+    }
+
+    /// Takes over which `servers` the configuration publishes. A replica that is no longer
+    /// published gets no new work.
+    pub fn publish(&mut self, servers: &[Server], slots: u32) {
+        for replica in &mut self.replicas {
+            let published = servers.iter().find(|s| s.upstream == replica.upstream);
+            replica.publish_leaving(published.is_none_or(|s| s.leaving));
+        }
+        for server in servers {
+            if !self.replicas.iter().any(|r| r.upstream == server.upstream) {
+                self.replicas.push(Replica::new(server.upstream, slots, server.leaving));
+            }
+        }
+    }
+
+    /// Versions that at least `least` replicas hold, as far as known.
+    pub fn window(&self, least: usize) -> Option<Window> {
+        let windows = || self.replicas.iter().filter(|r| !r.is_leaving()).filter_map(|r| r.window);
+        let mut newest: Vec<Version> = windows().map(|w| w.newest).collect();
+        newest.sort_unstable();
+        let enough = least.min(newest.len());
+        let newest = *newest.get(newest.len().checked_sub(enough.max(1))?)?;
+        let oldest = windows().filter(|w| w.newest >= newest).map(|w| w.oldest).min()?;
+        Some(Window { oldest, newest })
+    }
+
+    /// Takes in a job. The ticket may be finished by the returned actions already.
+    pub fn submit(
+        &mut self,
+        now: Instant,
+        job: Job,
+        env: &mut Env<'_>,
+        actions: &mut Vec<Action>,
+    ) -> Ticket {
+        let ticket = Ticket(self.next);
+        self.next += 1;
+        self.counts.jobs += 1;
+        self.hedges.earn();
+        self.retries.earn();
+        let rank = usize::from(job.rank).min(RANKS - 1);
+        self.timers.insert((job.deadline, ticket));
+        let state = State {
+            job,
+            in_flight: Vec::new(),
+            tried: Vec::new(),
+            attempts: 0,
+            fate: Fate::NotRun,
+            reason: None,
+            queued: true,
+            not_before: None,
+        };
+        self.jobs.insert(ticket, state);
+        self.queues[rank].push_back(ticket);
+        if self.queued() > QUEUE_LIMIT {
+            self.evict(actions);
+        }
+        self.poll(now, env, actions);
+        ticket
+    }
+
+    /// Drops a job that nobody waits for any more.
+    pub fn abandon(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        env: &mut Env<'_>,
+        actions: &mut Vec<Action>,
+    ) {
+        if self.jobs.contains_key(&ticket) {
+            self.remove(now, ticket, actions);
+            self.poll(now, env, actions);
+        }
+    }
+
+    /// Takes in how `attempt` ended.
+    pub fn reply(
+        &mut self,
+        now: Instant,
+        attempt: id::Attempt,
+        reply: Reply,
+        env: &mut Env<'_>,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(sent) = self.sent.remove(&attempt) else {
+            self.counts.strays += 1;
+            return;
+        };
+        self.observe(now, &sent, reply, env);
+        self.settle(now, attempt, &sent, reply, actions);
+        self.poll(now, env, actions);
+    }
+
+    /// Does what is due, and returns when to call again at the latest.
+    pub fn poll(
+        &mut self,
+        now: Instant,
+        env: &mut Env<'_>,
+        actions: &mut Vec<Action>,
+    ) -> Option<Instant> {
+        self.fire_timers(now, env, actions);
+        self.dispatch(now, env, actions);
+        self.next_wake(now)
+    }
+
+    fn next_wake(&self, now: Instant) -> Option<Instant> {
+        let timer = self.timers.first().map(|(at, _)| *at);
+        if self.queued() == 0 {
+            return timer;
+        }
+        let unblocked = self.replicas.iter().filter_map(|r| r.blocked_until(now)).min();
+        timer.into_iter().chain(unblocked).min()
+    }
+
+    fn evict(&mut self, actions: &mut Vec<Action>) {
+        // The newest of the lowest rank has waited least.
+        let Some(ticket) = self.queues.iter_mut().rev().find_map(VecDeque::pop_back) else {
+            return;
+        };
+        let fate = self.jobs.get(&ticket).map_or(Fate::NotRun, |s| s.fate);
+        self.counts.refusals += 1;
+        self.forget(ticket);
+        let end = End::Failed { reason: Reason::Overload, fate };
+        actions.push(Action::Finish { ticket, end });
+    }
+
+    fn forget(&mut self, ticket: Ticket) -> Option<State> {
+        let state = self.jobs.remove(&ticket)?;
+        self.timers.remove(&(state.job.deadline, ticket));
+        let hedge: Vec<_> = self.timers.iter().filter(|(_, t)| *t == ticket).copied().collect();
+        for timer in hedge {
+            self.timers.remove(&timer);
+        }
+        if state.queued {
+            for queue in &mut self.queues {
+                queue.retain(|t| *t != ticket);
+            }
+        }
+        Some(state)
+    }
+
+    fn remove(&mut self, now: Instant, ticket: Ticket, actions: &mut Vec<Action>) -> Option<State> {
+        let state = self.forget(ticket)?;
+        for attempt in &state.in_flight {
+            let Some(sent) = self.sent.remove(attempt) else { continue };
+            let age = now.saturating_duration_since(sent.at);
+            self.replicas[sent.replica].cancelled(age);
+            if !sent.hedge {
+                self.hedge_delay.record(age);
+            }
+            self.release(state.job.rank);
+            actions.push(Action::Cancel { attempt: *attempt });
+        }
+        Some(state)
+    }
+
+    fn release(&mut self, rank: u8) {
+        if rank > 0 {
+            self.lower_in_flight -= 1;
+        }
+    }
+
+    fn fire_timers(&mut self, now: Instant, env: &mut Env<'_>, actions: &mut Vec<Action>) {
+        while let Some(&(at, ticket)) = self.timers.first() {
+            if at > now {
+                return;
+            }
+            self.timers.pop_first();
+            let Some(state) = self.jobs.get_mut(&ticket) else { continue };
+            if state.job.deadline <= now {
+                self.expire(now, ticket, actions);
+            } else if state.not_before.is_some_and(|t| t <= now) {
+                state.not_before = None;
+                self.requeue(ticket);
+            } else {
+                self.hedge(now, ticket, env, actions);
+            }
+        }
+    }
+
+    fn expire(&mut self, now: Instant, ticket: Ticket, actions: &mut Vec<Action>) {
+        let Some(state) = self.remove(now, ticket, actions) else { return };
+        // An attempt in flight may have run, or run before its cancellation arrives.
+        let pending = if state.in_flight.is_empty() { Fate::NotRun } else { Fate::MayHaveRun };
+        if state.attempts == 0 {
+            self.counts.refusals += 1;
+        }
+        let end = End::Failed { reason: Reason::Deadline, fate: state.fate.and(pending) };
+        actions.push(Action::Finish { ticket, end });
+    }
+
+    fn requeue(&mut self, ticket: Ticket) {
+        let Some(state) = self.jobs.get_mut(&ticket) else { return };
+        state.queued = true;
+        let rank = usize::from(state.job.rank).min(RANKS - 1);
+        self.queues[rank].push_front(ticket);
+    }
+
+    fn dispatch(&mut self, now: Instant, env: &mut Env<'_>, actions: &mut Vec<Action>) {
+        for rank in 0..RANKS {
+            let mut waiting = VecDeque::new();
+            while let Some(ticket) = self.queues[rank].pop_front() {
+                let step = self.place(now, ticket, env);
+                match step {
+                    Step::Send(replica) => {
+                        if let Some(state) = self.jobs.get_mut(&ticket) {
+                            state.queued = false;
+                        }
+                        self.send(now, ticket, replica, false, actions);
+                    }
+                    Step::Skip => waiting.push_back(ticket),
+                    Step::Wait => {
+                        waiting.push_back(ticket);
+                        break;
+                    }
+                    Step::End(reason) => self.end(ticket, reason, actions),
+                }
+            }
+            waiting.append(&mut self.queues[rank]);
+            self.queues[rank] = waiting;
+            if rank == 0 && !self.queues[0].is_empty() {
+                // Lower ranks must not take the places that a first class waits for.
+                return;
+            }
+        }
+    }
+
+    fn end(&mut self, ticket: Ticket, reason: Reason, actions: &mut Vec<Action>) {
+        let Some(state) = self.forget(ticket) else { return };
+        if state.attempts == 0 {
+            self.counts.refusals += 1;
+        }
+        let reason = state.reason.unwrap_or(reason);
+        actions.push(Action::Finish { ticket, end: End::Failed { reason, fate: state.fate } });
+    }
+
+    fn place(&self, now: Instant, ticket: Ticket, env: &mut Env<'_>) -> Step {
+        let Some(state) = self.jobs.get(&ticket) else { return Step::End(Reason::Deadline) };
+        if (env.suspect)(state.job.fingerprint) {
+            return Step::End(Reason::Quarantined);
+        }
+        if state.attempts >= ATTEMPT_LIMIT {
+            return Step::End(Reason::Overload);
+        }
+        let usable = |i: &usize| {
+            let replica = &self.replicas[*i];
+            !replica.is_leaving() && !replica.lacks(state.job.version) && !state.tried.contains(i)
+        };
+        let candidates: Vec<usize> = (0..self.replicas.len()).filter(usable).collect();
+        if candidates.is_empty() {
+            return Step::End(self.why_none(state));
+        }
+        let down = |i: &usize| {
+            let replica = &self.replicas[*i];
+            replica.is_failing() && !replica.is_free(now)
+        };
+        if candidates.iter().all(down) {
+            return Step::End(Reason::Unreachable);
+        }
+        if state.job.rank > 0
+            && self.options.adaptive
+            && self.lower_in_flight >= self.lower_limit.value()
+        {
+            return Step::Wait;
+        }
+        match self.cheapest(now, &candidates, env.rng) {
+            Some(replica) => Step::Send(replica),
+            None if candidates.len() == self.replicas.len() => Step::Wait,
+            None => Step::Skip,
+        }
+    }
+
+    fn why_none(&self, state: &State) -> Reason {
+        if self.replicas.iter().all(Replica::is_leaving) {
+            return Reason::Draining;
+        }
+        if self.replicas.iter().any(|r| r.lacks(state.job.version)) {
+            return Reason::Version;
+        }
+        Reason::Unreachable
+    }
+
+    fn cheapest(&self, now: Instant, candidates: &[usize], rng: &mut dyn RngCore) -> Option<usize> {
+        let free: Vec<usize> =
+            candidates.iter().copied().filter(|i| self.replicas[*i].is_free(now)).collect();
+        if free.is_empty() {
+            return None;
+        }
+        // A random start breaks ties evenly.
+        let start = rng.random_range(0..free.len());
+        let order = (0..free.len()).map(|i| free[(start + i) % free.len()]);
+        order.min_by(|a, b| self.replicas[*a].cost().total_cmp(&self.replicas[*b].cost()))
+    }
+
+    fn send(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        replica: usize,
+        hedge: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(state) = self.jobs.get_mut(&ticket) else { return };
+        let attempt = id::Attempt(self.attempt_base + self.counts.attempts);
+        self.counts.attempts += 1;
+        state.attempts += 1;
+        state.in_flight.push(attempt);
+        if state.job.rank > 0 {
+            self.lower_in_flight += 1;
+        }
+        self.replicas[replica].sent();
+        self.sent.insert(attempt, Sent { ticket, replica, at: now, hedge });
+        if let (true, true, Some(delay)) =
+            (self.options.hedge, state.job.idempotent, self.hedge_delay.value())
+        {
+            self.timers.insert((now + delay, ticket));
+        }
+        let upstream = self.replicas[replica].upstream;
+        actions.push(Action::Send { ticket, attempt, upstream });
+    }
+
+    fn hedge(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        env: &mut Env<'_>,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(state) = self.jobs.get(&ticket) else { return };
+        let running = !state.in_flight.is_empty();
+        let suspect = (env.suspect)(state.job.fingerprint);
+        let overloaded = self.queues.iter().any(|q| !q.is_empty());
+        if !running || suspect || overloaded || state.attempts >= ATTEMPT_LIMIT {
+            return;
+        }
+        let holds = |i: &usize| {
+            let replica = &self.replicas[*i];
+            let running = state.in_flight.iter().filter_map(|a| self.sent.get(a));
+            let idle = !running.into_iter().any(|s| s.replica == *i);
+            idle && !replica.is_leaving()
+                && !replica.lacks(state.job.version)
+                && !state.tried.contains(i)
+        };
+        let candidates: Vec<usize> = (0..self.replicas.len()).filter(holds).collect();
+        let Some(replica) = self.cheapest(now, &candidates, env.rng) else { return };
+        if !self.hedges.spend() {
+            return;
+        }
+        self.counts.hedges += 1;
+        self.send(now, ticket, replica, true, actions);
+    }
+
+    fn observe(&mut self, now: Instant, sent: &Sent, reply: Reply, env: &mut Env<'_>) {
+        let rank = self.jobs.get(&sent.ticket).map_or(0, |s| s.job.rank);
+        self.release(rank);
+        let latency = now.saturating_duration_since(sent.at);
+        let replica = &mut self.replicas[sent.replica];
+        match reply {
+            Reply::Done => {
+                replica.replied(latency);
+                if !sent.hedge {
+                    self.hedge_delay.record(latency);
+                }
+                self.adapt(latency);
+            }
+            Reply::Shed => {
+                self.counts.sheds += 1;
+                replica.shed(now);
+                self.lower_limit.shrink();
+            }
+            Reply::Draining => {
+                replica.declined();
+                replica.leaves(None);
+            }
+            Reply::VersionMissing => replica.declined(),
+            Reply::Failed | Reply::Unreached | Reply::Lost | Reply::Bad => {
+                replica.failed(now, env.rng.random());
+            }
+        }
+    }
+
+    fn adapt(&mut self, latency: Duration) {
+        self.median.record(latency);
+        let Some(median) = self.median.value() else { return };
+        let baseline = self.baseline.map_or(median, |b| b.min(median));
+        self.baseline = Some(baseline);
+        if median > baseline.mul_f64(INFLATION) {
+            self.lower_limit.shrink();
+        } else {
+            self.lower_limit.grow(self.lower_in_flight + 1);
+        }
+    }
+
+    fn settle(
+        &mut self,
+        now: Instant,
+        attempt: id::Attempt,
+        sent: &Sent,
+        reply: Reply,
+        actions: &mut Vec<Action>,
+    ) {
+        let ticket = sent.ticket;
+        let Some(state) = self.jobs.get_mut(&ticket) else { return };
+        state.in_flight.retain(|a| *a != attempt);
+        state.fate = state.fate.and(reply.fate());
+        if reply == Reply::Done {
+            self.remove(now, ticket, actions);
+            actions.push(Action::Finish { ticket, end: End::Done });
+            return;
+        }
+        state.reason = Some(reply.reason());
+        if reply != Reply::Shed {
+            state.tried.push(sent.replica);
+        }
+        if !state.in_flight.is_empty() {
+            return;
+        }
+        let harmless = state.fate == Fate::NotRun;
+        let fate = state.fate;
+        let may_repeat = harmless || state.job.idempotent;
+        let refused = matches!(reply, Reply::Shed | Reply::Draining | Reply::VersionMissing);
+        if !may_repeat || !(refused || self.retries.spend()) {
+            self.forget(ticket);
+            let end = End::Failed { reason: reply.reason(), fate };
+            actions.push(Action::Finish { ticket, end });
+            return;
+        }
+        self.counts.retries += 1;
+        if reply == Reply::Lost {
+            state.not_before = Some(now + LOSS_CONFIRM);
+            self.timers.insert((now + LOSS_CONFIRM, ticket));
+            return;
+        }
+        self.requeue(ticket);
+    }
+}
+
+/// What the scheduler needs from outside at each call.
+pub struct Env<'a> {
+    /// Randomness.
+    pub rng: &'a mut dyn RngCore,
+    /// Whether requests with a fingerprint are suspected of crashing upstreams.
+    pub suspect: &'a dyn Fn(u64) -> bool,
+}
+
+impl std::fmt::Debug for Env<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Env").finish_non_exhaustive()
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Step {
+    Send(usize),
+    /// This job cannot be sent yet; another may.
+    Skip,
+    /// No job of this rank can be sent yet.
+    Wait,
+    End(Reason),
+}
--- /dev/null
+++ b/crates/policy/src/home.rs
@@ -0,0 +1,215 @@
+//! Identities of non-idempotent requests, and the memory of the node that may run them.
+//!
+//! An id names its home: the incarnation of the one node that may run it. Once a final answer
+//! was given for an id, every later request with that id gets the same answer.
+
+use std::{collections::BTreeSet, fmt, str::FromStr};
+
+use base::{hash::CallerMap, id};
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::outcome::Reason;
+
+/// Longest nonce, in bytes.
+pub const NONCE_LIMIT: usize = 64;
+/// Ids remembered at a time.
+pub const MEMORY_LIMIT: usize = 100_000;
+/// Tolerated difference between the clocks of two nodes, in milliseconds.
+pub const SKEW_MS: u64 = 5_000;
+
+/// The incarnation of a node, together with the time until which ids formed from it are valid.
+///
+/// Written `ADDRESS~INCARNATION~EXPIRY`, with the last two in hexadecimal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Home {
+    /// The node.
+    pub node: id::Node,
+    /// Its incarnation.
+    pub incarnation: id::Incarnation,
+    /// Expiry in milliseconds since the Unix epoch.
+    pub expiry_ms: u64,
+}
+
+/// Identity of a non-idempotent request: its home and a nonce chosen by the caller.
+///
+/// Written `HOME~NONCE`.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(try_from = "SmolStr", into = "SmolStr")]
+pub struct Id {
+    /// Where it may run.
+    pub home: Home,
+    /// The caller's part.
+    pub nonce: SmolStr,
+}
+
+impl fmt::Display for Home {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}~{:x}~{:x}", self.node, self.incarnation.0, self.expiry_ms)
+    }
+}
+
+const HOME_ALLOWED: &str = "a home as given with an address, ADDRESS~INCARNATION~EXPIRY";
+const ID_ALLOWED: &str = "HOME~NONCE with a nonce of 1 to 64 of A-Z, a-z, 0-9, - and _";
+
+impl FromStr for Home {
+    type Err = id::Error;
+
+    fn from_str(text: &str) -> Result<Home, id::Error> {
+        let error = || id::Error { kind: "home", read: clip(text), allowed: HOME_ALLOWED };
+        let mut parts = text.split('~');
+        let (node, incarnation, expiry) =
+            match (parts.next(), parts.next(), parts.next(), parts.next()) {
+                (Some(n), Some(i), Some(e), None) => (n, i, e),
+                _ => return Err(error()),
+            };
+        Ok(Home {
+            node: node.parse().map_err(|_| error())?,
+            incarnation: id::Incarnation(
+                u64::from_str_radix(incarnation, 16).map_err(|_| error())?,
+            ),
+            expiry_ms: u64::from_str_radix(expiry, 16).map_err(|_| error())?,
+        })
+    }
+}
+
+impl fmt::Display for Id {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}~{}", self.home, self.nonce)
+    }
+}
+
+impl FromStr for Id {
+    type Err = id::Error;
+
+    fn from_str(text: &str) -> Result<Id, id::Error> {
+        let error = || id::Error { kind: "request id", read: clip(text), allowed: ID_ALLOWED };
+        let (home, nonce) = text.rsplit_once('~').ok_or_else(error)?;
+        let ok = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
+        if nonce.is_empty() || nonce.len() > NONCE_LIMIT || !nonce.chars().all(ok) {
+            return Err(error());
+        }
+        Ok(Id { home: home.parse().map_err(|_| error())?, nonce: SmolStr::new(nonce) })
+    }
+}
+
+impl TryFrom<SmolStr> for Id {
+    type Error = id::Error;
+
+    fn try_from(text: SmolStr) -> Result<Id, id::Error> {
+        text.parse()
+    }
+}
+
+impl From<Id> for SmolStr {
+    fn from(id: Id) -> SmolStr {
+        smol_str::format_smolstr!("{id}")
+    }
+}
+
+fn clip(text: &str) -> String {
+    text.chars().take(160).collect()
+}
+
+/// What to do with a request that has arrived at a node.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Verdict<A> {
+    /// Run it now; nobody has before.
+    Run,
+    /// It is running; wait for its answer.
+    Wait,
+    /// It has this final answer.
+    Answered(A),
+    /// Another node is its home; pass it on once.
+    Forward(id::Node),
+    /// It must not run here, and may have run before.
+    Unknown(Reason),
+}
+
+#[derive(Debug, Clone)]
+enum Entry<A> {
+    Running,
+    Answered(A),
+}
+
+/// Memory of the ids whose home is this incarnation.
+#[derive(Debug)]
+pub struct Memory<A> {
+    node: id::Node,
+    incarnation: id::Incarnation,
+    validity_ms: u64,
+    entries: CallerMap<Id, Entry<A>>,
+    expiries: BTreeSet<(u64, Id)>,
+}
+
+impl<A: Clone> Memory<A> {
+    /// Memory of `incarnation` of `node`, for ids valid for up to `validity_ms`.
+    pub fn new(node: id::Node, incarnation: id::Incarnation, validity_ms: u64) -> Memory<A> {
+        let (entries, expiries) = Default::default();
+        Memory { node, incarnation, validity_ms, entries, expiries }
+    }
+
+    /// Number of ids remembered.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no id is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Decides on a request with `id` that arrived at `now_ms`; [`Verdict::Run`] is given once.
+    ///
+    /// `forwarded` is set on requests that another node passed on; they are not passed on again.
+    pub fn admit(&mut self, now_ms: u64, id: &Id, forwarded: bool) -> Verdict<A> {
+        self.prune(now_ms);
+        if id.home.node != self.node {
+            return match forwarded {
+                true => Verdict::Unknown(Reason::HomeUnreachable),
+                false => Verdict::Forward(id.home.node),
+            };
+        }
+        if id.home.incarnation != self.incarnation {
+            return Verdict::Unknown(Reason::HomeUnreachable);
+        }
+        match self.entries.get(id) {
+            Some(Entry::Running) => return Verdict::Wait,
+            Some(Entry::Answered(answer)) => return Verdict::Answered(answer.clone()),
+            None => {}
+        }
+        let latest = now_ms + self.validity_ms + SKEW_MS;
+        if id.home.expiry_ms <= now_ms || id.home.expiry_ms > latest {
+            return Verdict::Unknown(Reason::Expired);
+        }
+        if self.entries.len() >= MEMORY_LIMIT {
+            return Verdict::Unknown(Reason::Overload);
+        }
+        self.entries.insert(id.clone(), Entry::Running);
+        self.expiries.insert((id.home.expiry_ms, id.clone()));
+        Verdict::Run
+    }
+
+    /// Records the final answer of an id that was let run.
+    pub fn answer(&mut self, id: &Id, answer: A) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            *entry = Entry::Answered(answer);
+        }
+    }
+
+    /// Time of the last expiry, in milliseconds since the Unix epoch.
+    pub fn last_expiry_ms(&self) -> Option<u64> {
+        self.expiries.last().map(|(at, _)| *at)
+    }
+
+    fn prune(&mut self, now_ms: u64) {
+        while let Some((at, _)) = self.expiries.first() {
+            if *at > now_ms {
+                return;
+            }
+            if let Some((_, id)) = self.expiries.pop_first() {
+                self.entries.remove(&id);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/membership.rs
@@ -0,0 +1,474 @@
+//! Membership by heartbeats: which nodes live, which are suspected, which leave.
+//!
+//! Each node probes one other a period, directly and then through others, and passes records
+//! on with its probes, so that the cost for a node does not grow with the fleet. A record is
+//! ordered by its node's incarnation and counter; only the node itself raises the counter, and
+//! does so to refute a suspicion.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use base::{hash, hash::FastMap, id};
+use rand::{Rng, RngCore, seq::IndexedRandom, seq::SliceRandom};
+use serde::{Deserialize, Serialize};
+
+use crate::{adoption::Stamp, quarantine::Notice};
+
+/// Time between two probes.
+pub const PERIOD: Duration = Duration::from_millis(500);
+/// Time within which a probe is answered before others are asked to probe.
+pub const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time from suspicion to death, unless refuted.
+pub const SUSPICION: Duration = Duration::from_secs(3);
+/// Time for which a dead node's record is kept.
+pub const RETENTION: Duration = Duration::from_secs(300);
+/// Records carried by one message.
+pub const RECORDS: usize = 8;
+/// Notices of quarantined fingerprints carried by one message.
+pub const NOTICES: usize = 8;
+const INDIRECT: usize = 3;
+/// Nodes told at once of news; they tell as many others.
+const FANOUT: usize = 4;
+/// A gap between two ticks from which the process is assumed to have been paused.
+const PAUSE: Duration = Duration::from_millis(1_500);
+/// Dead or unknown nodes are probed every so many periods, to find the way back after a partition.
+const REVIVE_PERIODS: u64 = 4;
+
+/// Liveness of a node as its peers see it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Status {
+    /// It answers.
+    Alive,
+    /// It did not answer a probe.
+    Suspect,
+    /// It did not refute a suspicion, or has stopped.
+    Dead,
+}
+
+/// What is known of one node.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Record {
+    /// The node.
+    pub node: id::Node,
+    /// Its process.
+    pub incarnation: id::Incarnation,
+    /// Raised by the node itself with each change.
+    pub counter: u32,
+    /// Liveness.
+    pub status: Status,
+    /// Whether it is stopping and takes no new callers.
+    pub leaving: bool,
+    /// Its failure domain.
+    pub domain: id::Domain,
+    /// Where it serves callers.
+    pub callers: SocketAddr,
+}
+
+impl Record {
+    fn rank(&self) -> (id::Incarnation, u32, Status) {
+        (self.incarnation, self.counter, self.status)
+    }
+}
+
+/// Kind of a heartbeat message.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Kind {
+    /// Asks for an acknowledgement.
+    Ping,
+    /// Acknowledges a ping; relayed to `origin` if another node asked for the probe.
+    Ack,
+    /// Asks the receiver to probe `target`.
+    PingRequest {
+        /// The node to probe.
+        target: id::Node,
+    },
+    /// A ping on behalf of `origin`.
+    PingFor {
+        /// The node that doubts.
+        origin: id::Node,
+    },
+    /// Tells `origin`'s probe target's answer: the sender of this message lives.
+    AckFor,
+    /// Carries news and asks for nothing.
+    News,
+}
+
+/// One heartbeat message.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Message {
+    /// What it is.
+    pub kind: Kind,
+    /// The sender.
+    pub sender: Record,
+    /// The configuration in force at the sender.
+    pub stamp: Stamp,
+    /// Digest of the records that the sender holds.
+    pub digest: u64,
+    /// Records that changed lately.
+    pub records: Vec<Record>,
+    /// Quarantined fingerprints.
+    pub notices: Vec<Notice>,
+}
+
+/// A message to send.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Out {
+    /// The receiver.
+    pub to: id::Node,
+    /// The message.
+    pub message: Message,
+}
+
+/// What a node adds to its messages from outside of membership.
+#[derive(Debug, Clone, Default)]
+pub struct Extras {
+    /// The configuration in force.
+    pub stamp: Stamp,
+    /// Quarantined fingerprints.
+    pub notices: Vec<Notice>,
+}
+
+#[derive(Debug)]
+struct Member {
+    record: Record,
+    changed: Instant,
+    /// Times that the record is still to be passed on.
+    spread: u32,
+}
+
+#[derive(Debug)]
+struct Probe {
+    target: id::Node,
+    at: Instant,
+    indirect: bool,
+}
+
+/// The membership of one node.
+#[derive(Debug)]
+pub struct Fleet {
+    own: Record,
+    members: FastMap<id::Node, Member>,
+    candidates: Vec<id::Node>,
+    order: Vec<id::Node>,
+    probe: Option<Probe>,
+    last_tick: Option<Instant>,
+    next_probe: Option<Instant>,
+    periods: u64,
+    distrusted: bool,
+    pauses: u64,
+    ever_met: bool,
+    divergences: u32,
+}
+
+impl Fleet {
+    /// Membership with only the node itself.
+    pub fn new(own: Record) -> Fleet {
+        Fleet {
+            own,
+            members: FastMap::default(),
+            candidates: Vec::new(),
+            order: Vec::new(),
+            probe: None,
+            last_tick: None,
+            next_probe: None,
+            periods: 0,
+            distrusted: false,
+            pauses: 0,
+            ever_met: false,
+            divergences: 0,
+        }
+    }
+
+    /// The node's own record.
+    pub fn own(&self) -> &Record {
+        &self.own
+    }
+
+    /// Records of the other nodes.
+    pub fn records(&self) -> impl Iterator<Item = &Record> {
+        self.members.values().map(|m| &m.record)
+    }
+
+    /// Whether the node has woken from a pause and not yet heard from another since.
+    pub fn is_distrusted(&self) -> bool {
+        self.distrusted
+    }
+
+    /// Pauses of this process that were noticed.
+    pub fn pauses(&self) -> u64 {
+        self.pauses
+    }
+
+    /// Whether the node has met others before and now sees none of them alive.
+    pub fn is_isolated(&self) -> bool {
+        let alive = |m: &Member| m.record.status == Status::Alive;
+        self.ever_met && !self.members.is_empty() && !self.members.values().any(alive)
+    }
+
+    /// Whether the records have differed from several other nodes' in a row, so that the
+    /// full list should be fetched from one.
+    pub fn is_divergent(&self) -> bool {
+        self.divergences >= 3
+    }
+
+    /// Sets the nodes that the platform lists.
+    pub fn list(&mut self, candidates: Vec<id::Node>) {
+        self.candidates = candidates.into_iter().filter(|n| *n != self.own.node).collect();
+    }
+
+    /// Announces that this node is stopping.
+    pub fn leave(&mut self, extras: &Extras, rng: &mut dyn RngCore) -> Vec<Out> {
+        self.own.leaving = true;
+        self.own.counter += 1;
+        self.spread_news(extras, rng)
+    }
+
+    /// Tells some nodes of news at once; `extras` holds what is new.
+    pub fn spread_news(&mut self, extras: &Extras, rng: &mut dyn RngCore) -> Vec<Out> {
+        let others = self.sample(FANOUT, None, rng);
+        others.into_iter().map(|to| self.out(to, Kind::News, extras)).collect()
+    }
+
+    /// Does what is due; to be called several times a period.
+    pub fn tick(&mut self, now: Instant, extras: &Extras, rng: &mut dyn RngCore) -> Vec<Out> {
+        self.notice_pause(now);
+        let mut out = Vec::new();
+        self.follow_probe(now, extras, rng, &mut out);
+        self.bury(now);
+        if self.next_probe.is_none_or(|at| at <= now) {
+            self.next_probe = Some(now + PERIOD.mul_f64(0.9 + 0.2 * rng.random::<f64>()));
+            self.periods += 1;
+            self.start_probe(now, extras, rng, &mut out);
+        }
+        out
+    }
+
+    /// Takes in a message.
+    pub fn receive(&mut self, now: Instant, message: &Message, extras: &Extras) -> Vec<Out> {
+        let from = message.sender.node;
+        if from == self.own.node {
+            return Vec::new();
+        }
+        self.distrusted = false;
+        self.ever_met = true;
+        self.merge(now, &message.sender);
+        for record in &message.records {
+            self.merge(now, record);
+        }
+        self.compare(message.digest);
+        if self.probe.as_ref().is_some_and(|p| p.target == from) {
+            self.probe = None;
+        }
+        match &message.kind {
+            Kind::Ping => vec![self.out(from, Kind::Ack, extras)],
+            Kind::PingRequest { target } => {
+                vec![self.out(*target, Kind::PingFor { origin: from }, extras)]
+            }
+            Kind::PingFor { origin } => vec![self.out(*origin, Kind::AckFor, extras)],
+            Kind::Ack | Kind::AckFor | Kind::News => Vec::new(),
+        }
+    }
+
+    /// Takes in a full list of records from another node.
+    pub fn merge_all(&mut self, now: Instant, records: &[Record]) {
+        self.divergences = 0;
+        for record in records {
+            self.merge(now, record);
+        }
+    }
+
+    /// Digest of all records, the own one included.
+    pub fn digest(&self) -> u64 {
+        let of = |r: &Record| {
+            let Record { node, incarnation, counter, status, leaving, .. } = r;
+            let text = format!("{node} {incarnation} {counter} {status:?} {leaving}");
+            hash::stable(&[text.as_bytes()])
+        };
+        // The sum does not depend on the order, which differs between nodes.
+        let live = self.records().filter(|r| r.status != Status::Dead);
+        live.map(of).fold(of(&self.own), u64::wrapping_add)
+    }
+
+    fn compare(&mut self, digest: u64) {
+        self.divergences = if digest == self.digest() { 0 } else { self.divergences + 1 };
+    }
+
+    fn notice_pause(&mut self, now: Instant) {
+        let gap = self.last_tick.map(|t| now.saturating_duration_since(t));
+        self.last_tick = Some(now);
+        if gap.is_none_or(|g| g < PAUSE) {
+            return;
+        }
+        // What did not answer meanwhile may have answered to nobody: judge nobody by it.
+        self.pauses += 1;
+        self.distrusted = !self.members.is_empty();
+        self.probe = None;
+        for member in self.members.values_mut() {
+            member.changed = now;
+        }
+    }
+
+    fn follow_probe(
+        &mut self,
+        now: Instant,
+        extras: &Extras,
+        rng: &mut dyn RngCore,
+        out: &mut Vec<Out>,
+    ) {
+        let Some(probe) = &self.probe else { return };
+        let target = probe.target;
+        let age = now.saturating_duration_since(probe.at);
+        if age >= PERIOD {
+            self.probe = None;
+            self.suspect(now, target);
+        } else if age >= PROBE_TIMEOUT && !probe.indirect {
+            for to in self.sample(INDIRECT, Some(target), rng) {
+                out.push(self.out(to, Kind::PingRequest { target }, extras));
+            }
+            if let Some(probe) = &mut self.probe {
+                probe.indirect = true;
+            }
+        }
+    }
+
+    fn suspect(&mut self, now: Instant, target: id::Node) {
+        let spread = self.retransmissions();
+        let Some(member) = self.members.get_mut(&target) else { return };
+        if member.record.status != Status::Alive {
+            return;
+        }
+        member.record.status = Status::Suspect;
+        member.changed = now;
+        member.spread = spread;
+    }
+
+    fn bury(&mut self, now: Instant) {
+        let spread = self.retransmissions();
+        for member in self.members.values_mut() {
+            let age = now.saturating_duration_since(member.changed);
+            if member.record.status == Status::Suspect && age >= SUSPICION {
+                member.record.status = Status::Dead;
+                member.changed = now;
+                member.spread = spread;
+            }
+        }
+        self.members.retain(|_, m| {
+            let age = now.saturating_duration_since(m.changed);
+            m.record.status != Status::Dead || age < RETENTION
+        });
+    }
+
+    fn start_probe(
+        &mut self,
+        now: Instant,
+        extras: &Extras,
+        rng: &mut dyn RngCore,
+        out: &mut Vec<Out>,
+    ) {
+        if self.periods.is_multiple_of(REVIVE_PERIODS) || self.members.is_empty() {
+            self.revive(extras, rng, out);
+        }
+        if self.probe.is_some() {
+            return;
+        }
+        if let Some(target) = self.next_target(rng) {
+            self.probe = Some(Probe { target, at: now, indirect: false });
+            out.push(self.out(target, Kind::Ping, extras));
+        }
+    }
+
+    fn next_target(&mut self, rng: &mut dyn RngCore) -> Option<id::Node> {
+        let is_live = |m: &Member| m.record.status != Status::Dead;
+        loop {
+            if self.order.is_empty() {
+                self.order =
+                    self.members.values().filter(|m| is_live(m)).map(|m| m.record.node).collect();
+                self.order.sort_unstable();
+                self.order.shuffle(rng);
+            }
+            let target = self.order.pop()?;
+            if self.members.get(&target).is_some_and(is_live) {
+                return Some(target);
+            }
+        }
+    }
+
+    fn revive(&mut self, extras: &Extras, rng: &mut dyn RngCore, out: &mut Vec<Out>) {
+        let is_live =
+            |n: &id::Node| self.members.get(n).is_some_and(|m| m.record.status != Status::Dead);
+        let mut lost: Vec<id::Node> =
+            self.candidates.iter().copied().filter(|n| !is_live(n)).collect();
+        lost.extend(self.members.keys().copied().filter(|n| !is_live(n)));
+        lost.sort_unstable();
+        lost.dedup();
+        for to in lost.choose_multiple(rng, FANOUT).copied().collect::<Vec<_>>() {
+            out.push(self.out(to, Kind::Ping, extras));
+        }
+    }
+
+    fn merge(&mut self, now: Instant, record: &Record) {
+        if record.node == self.own.node {
+            self.refute(record);
+            return;
+        }
+        let spread = self.retransmissions();
+        match self.members.get_mut(&record.node) {
+            Some(member) if record.rank() <= member.record.rank() => {}
+            Some(member) => {
+                member.record = record.clone();
+                member.changed = now;
+                member.spread = spread;
+            }
+            None if record.status == Status::Dead => {}
+            None => {
+                let member = Member { record: record.clone(), changed: now, spread };
+                self.members.insert(record.node, member);
+            }
+        }
+    }
+
+    fn refute(&mut self, record: &Record) {
+        let same = record.incarnation == self.own.incarnation;
+        let doubted = record.status != Status::Alive || record.leaving != self.own.leaving;
+        if same && doubted && record.counter >= self.own.counter {
+            self.own.counter = record.counter + 1;
+        }
+    }
+
+    fn retransmissions(&self) -> u32 {
+        3 * (usize::BITS - (self.members.len() + 1).leading_zeros())
+    }
+
+    fn sample(
+        &self,
+        count: usize,
+        except: Option<id::Node>,
+        rng: &mut dyn RngCore,
+    ) -> Vec<id::Node> {
+        let usable =
+            |m: &&Member| m.record.status == Status::Alive && Some(m.record.node) != except;
+        let mut nodes: Vec<id::Node> =
+            self.members.values().filter(usable).map(|m| m.record.node).collect();
+        nodes.sort_unstable();
+        nodes.choose_multiple(rng, count).copied().collect()
+    }
+
+    fn out(&mut self, to: id::Node, kind: Kind, extras: &Extras) -> Out {
+        // A suspected receiver must learn of the suspicion, or it cannot refute it.
+        let about = self.members.get(&to).filter(|m| m.record.status != Status::Alive);
+        let mut records: Vec<Record> = about.map(|m| m.record.clone()).into_iter().collect();
+        let mut fresh: Vec<&mut Member> =
+            self.members.values_mut().filter(|m| m.spread > 0 && m.record.node != to).collect();
+        fresh.sort_unstable_by_key(|m| (std::cmp::Reverse(m.spread), m.record.node));
+        for member in fresh.into_iter().take(RECORDS - records.len()) {
+            member.spread -= 1;
+            records.push(member.record.clone());
+        }
+        let notices = extras.notices.iter().copied().take(NOTICES).collect();
+        let digest = self.digest();
+        let sender = self.own.clone();
+        Out { to, message: Message { kind, sender, stamp: extras.stamp, digest, records, notices } }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/quarantine.rs
@@ -0,0 +1,134 @@
+//! Suspicion of requests that crash the upstreams that run them.
+
+use std::{
+    collections::VecDeque,
+    time::{Duration, Instant},
+};
+
+use base::hash::CallerMap;
+use serde::{Deserialize, Serialize};
+
+/// How long a fingerprint stays quarantined.
+pub const EXPIRY: Duration = Duration::from_secs(60);
+/// Fingerprints tracked or quarantined at a time.
+pub const LIMIT: usize = 1_024;
+/// Weight of lost upstreams at which a fingerprint is quarantined.
+const THRESHOLD: f64 = 1.5;
+
+/// A quarantined fingerprint, as spread between nodes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Notice {
+    /// The fingerprint.
+    pub fingerprint: u64,
+    /// Time left, in milliseconds.
+    pub remaining_ms: u32,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    weight: f64,
+    until: Instant,
+    quarantined: bool,
+}
+
+/// Evidence against fingerprints.
+///
+/// A lost connection weighs against each request that ran on it, divided by their number. A
+/// request that completes anywhere clears what was held against it, so that requests that
+/// merely ran beside a crashing one recover.
+#[derive(Debug, Default)]
+pub struct Book {
+    entries: CallerMap<u64, Entry>,
+    order: VecDeque<u64>,
+    count: usize,
+}
+
+impl Book {
+    /// A book without entries.
+    pub fn new() -> Book {
+        Book::default()
+    }
+
+    /// Number of quarantined fingerprints, expired ones included until they are replaced.
+    pub fn len(&self) -> usize {
+        self.count
+    }
+
+    /// Whether nothing is quarantined.
+    pub fn is_empty(&self) -> bool {
+        self.count == 0
+    }
+
+    /// Whether `fingerprint` is quarantined at `now`.
+    pub fn is_suspect(&self, now: Instant, fingerprint: u64) -> bool {
+        self.entries.get(&fingerprint).is_some_and(|e| e.quarantined && e.until > now)
+    }
+
+    /// Records the loss of an upstream that ran `beside` requests, this one included.
+    /// Returns whether that newly quarantines the fingerprint.
+    pub fn lost(&mut self, now: Instant, fingerprint: u64, beside: usize) -> bool {
+        let share = 1.0 / beside.max(1) as f64;
+        let entry = self.entry(now, fingerprint);
+        entry.weight += share;
+        entry.until = now + EXPIRY;
+        let newly = !entry.quarantined && entry.weight >= THRESHOLD;
+        entry.quarantined |= newly;
+        self.count += usize::from(newly);
+        newly
+    }
+
+    /// Records that a request with `fingerprint` completed.
+    pub fn completed(&mut self, fingerprint: u64) {
+        if let Some(entry) = self.entries.get_mut(&fingerprint)
+            && !entry.quarantined
+        {
+            entry.weight = 0.0;
+        }
+    }
+
+    /// Takes in a notice from another node; returns whether it was news.
+    pub fn learn(&mut self, now: Instant, notice: Notice) -> bool {
+        let remaining = Duration::from_millis(u64::from(notice.remaining_ms)).min(EXPIRY);
+        let until = now + remaining;
+        let entry = self.entry(now, notice.fingerprint);
+        let newly = !entry.quarantined;
+        entry.quarantined = true;
+        entry.until = entry.until.max(until);
+        self.count += usize::from(newly);
+        newly
+    }
+
+    /// Up to `limit` notices to spread, the newest first.
+    pub fn notices(&self, now: Instant, limit: usize) -> Vec<Notice> {
+        let live = |f: &u64| {
+            let entry = self.entries.get(f).filter(|e| e.quarantined && e.until > now)?;
+            let remaining_ms = (entry.until - now).as_millis() as u32;
+            Some(Notice { fingerprint: *f, remaining_ms })
+        };
+        self.order.iter().rev().filter_map(live).take(limit).collect()
+    }
+
+    fn entry(&mut self, now: Instant, fingerprint: u64) -> &mut Entry {
+        let expired = self.entries.get(&fingerprint).is_some_and(|e| e.until <= now);
+        if expired {
+            self.drop_entry(fingerprint);
+        }
+        if !self.entries.contains_key(&fingerprint) {
+            if self.entries.len() >= LIMIT
+                && let Some(oldest) = self.order.front().copied()
+            {
+                self.drop_entry(oldest);
+            }
+            self.order.push_back(fingerprint);
+        }
+        let fresh = Entry { weight: 0.0, until: now + EXPIRY, quarantined: false };
+        self.entries.entry(fingerprint).or_insert(fresh)
+    }
+
+    fn drop_entry(&mut self, fingerprint: u64) {
+        if self.entries.remove(&fingerprint).is_some_and(|e| e.quarantined) {
+            self.count -= 1;
+        }
+        self.order.retain(|f| *f != fingerprint);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/replica.rs
@@ -0,0 +1,176 @@
+//! What a leaf knows of one upstream from its own observations.
+
+use std::time::{Duration, Instant};
+
+use base::{id, unit::Version};
+use serde::{Deserialize, Serialize};
+
+use crate::limit::Adaptive;
+
+/// Index versions that an upstream holds, both ends included.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Window {
+    /// Oldest version held.
+    pub oldest: Version,
+    /// Newest version held.
+    pub newest: Version,
+}
+
+impl Window {
+    /// Whether `version` is held.
+    pub fn holds(&self, version: Version) -> bool {
+        self.oldest <= version && version <= self.newest
+    }
+}
+
+/// Weight of the newest latency in the running mean.
+const WEIGHT: f64 = 0.1;
+const INITIAL: Duration = Duration::from_millis(5);
+const SHED_PAUSE: Duration = Duration::from_millis(5);
+const BACKOFF_FIRST: Duration = Duration::from_millis(50);
+const BACKOFF_LAST: Duration = Duration::from_secs(2);
+
+/// State of one upstream.
+#[derive(Debug)]
+pub struct Replica {
+    /// Its address.
+    pub upstream: id::Upstream,
+    /// Versions that it said it holds.
+    pub window: Option<Window>,
+    limit: Adaptive,
+    in_flight: usize,
+    mean: Duration,
+    blocked_until: Option<Instant>,
+    failures: u32,
+    incarnation: Option<id::Incarnation>,
+    /// The incarnation that said that it leaves; `None` inside if it gave none.
+    leaving: Option<Option<id::Incarnation>>,
+    published_leaving: bool,
+}
+
+impl Replica {
+    /// An upstream of `slots` slots, not yet observed.
+    pub fn new(upstream: id::Upstream, slots: u32, published_leaving: bool) -> Replica {
+        Replica {
+            upstream,
+            window: None,
+            limit: Adaptive::new(1, slots),
+            in_flight: 0,
+            mean: INITIAL,
+            blocked_until: None,
+            failures: 0,
+            incarnation: None,
+            leaving: None,
+            published_leaving,
+        }
+    }
+
+    /// Requests in flight from this node.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight
+    }
+
+    /// Whether it takes no new work because it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.is_some() || self.published_leaving
+    }
+
+    /// Whether it is known not to hold `version`.
+    pub fn lacks(&self, version: Option<Version>) -> bool {
+        matches!((version, self.window), (Some(v), Some(w)) if !w.holds(v))
+    }
+
+    /// Until when it gets no work after a failure or a refusal.
+    pub fn blocked_until(&self, now: Instant) -> Option<Instant> {
+        self.blocked_until.filter(|at| *at > now)
+    }
+
+    /// Whether the last signs were failures.
+    pub fn is_failing(&self) -> bool {
+        self.failures > 0
+    }
+
+    /// Whether a request may be sent now.
+    pub fn is_free(&self, now: Instant) -> bool {
+        let probing = self.failures > 0 && self.in_flight > 0;
+        !probing && self.in_flight < self.limit.value() && self.blocked_until(now).is_none()
+    }
+
+    /// Expected cost of one more request; lower is better.
+    pub fn cost(&self) -> f64 {
+        self.mean.as_secs_f64() * (1.0 + self.in_flight as f64)
+    }
+
+    /// Records a request sent.
+    pub fn sent(&mut self) {
+        self.in_flight += 1;
+    }
+
+    /// Records a reply after `latency`.
+    pub fn replied(&mut self, latency: Duration) {
+        self.limit.grow(self.in_flight);
+        self.in_flight -= 1;
+        self.failures = 0;
+        self.observe(latency);
+    }
+
+    /// Records a request cancelled after `age` without a reply.
+    pub fn cancelled(&mut self, age: Duration) {
+        self.in_flight -= 1;
+        if age > self.mean {
+            self.observe(age);
+        }
+    }
+
+    /// Records a refusal before running.
+    pub fn shed(&mut self, now: Instant) {
+        self.in_flight -= 1;
+        self.limit.shrink();
+        self.blocked_until = Some(now + SHED_PAUSE);
+    }
+
+    /// Records a reply that says that the upstream could not serve this very request.
+    pub fn declined(&mut self) {
+        self.in_flight -= 1;
+    }
+
+    /// Records a failure; `jitter` from 0 to 1 spreads the next attempts of many nodes.
+    pub fn failed(&mut self, now: Instant, jitter: f64) {
+        self.in_flight -= 1;
+        self.failures = self.failures.saturating_add(1);
+        self.limit.restart();
+        let doubled = BACKOFF_FIRST.saturating_mul(1 << (self.failures - 1).min(16));
+        let longest = doubled.min(BACKOFF_LAST);
+        self.blocked_until = Some(now + longest.mul_f64(0.5 + 0.5 * jitter));
+    }
+
+    /// Records the incarnation that the upstream names in a reply or a status.
+    ///
+    /// A new incarnation ends the drain of an earlier one.
+    pub fn incarnated(&mut self, incarnation: id::Incarnation) {
+        if self.incarnation == Some(incarnation) {
+            return;
+        }
+        self.incarnation = Some(incarnation);
+        self.window = None;
+        if matches!(self.leaving, Some(Some(old)) if old != incarnation) {
+            self.leaving = None;
+        }
+    }
+
+    /// Records a sign that the upstream leaves; it lasts as long as its incarnation.
+    pub fn leaves(&mut self, incarnation: Option<id::Incarnation>) {
+        if self.leaving.is_none() {
+            self.leaving = Some(incarnation.or(self.incarnation));
+        }
+    }
+
+    /// Records whether the published configuration says that it leaves.
+    pub fn publish_leaving(&mut self, leaving: bool) {
+        self.published_leaving = leaving;
+    }
+
+    fn observe(&mut self, latency: Duration) {
+        self.mean = self.mean.mul_f64(1.0 - WEIGHT) + latency.mul_f64(WEIGHT);
+    }
+}
--- /dev/null
+++ b/crates/policy/src/routing.rs
@@ -0,0 +1,21 @@
+//! Which node is the leaf of a shard group.
+
+use base::{hash, id};
+
+/// Nodes in descending preference as the leaf for a group, by rendezvous hashing.
+///
+/// A node's place depends on the node and the group alone, so that a change of membership
+/// moves only the groups of the nodes that came or went.
+pub fn leaves(service: &id::Service, group: id::Group, nodes: &[id::Node]) -> Vec<id::Node> {
+    let mut ranked: Vec<(u64, id::Node)> = nodes
+        .iter()
+        .map(|node| (weight(service.as_str().as_bytes(), &group.0.to_be_bytes(), *node), *node))
+        .collect();
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    ranked.into_iter().map(|(_, node)| node).collect()
+}
+
+/// Rendezvous weight of `node` for a thing named by two parts.
+pub fn weight(kind: &[u8], name: &[u8], node: id::Node) -> u64 {
+    hash::stable(&[kind, name, node.to_string().as_bytes()])
+}
--- /dev/null
+++ b/crates/policy/tests/outcome.rs
@@ -0,0 +1,98 @@
+//! Algebra of outcomes and exactness of coverage.
+
+use base::{
+    id,
+    keyspace::{self, Range, Set},
+    unit::Share,
+};
+use config::deployment::Coverage;
+use policy::{
+    coverage::{self, Part},
+    outcome::{Fate, Outcome, Reason},
+};
+use quickcheck::{Arbitrary, Gen, quickcheck};
+
+#[derive(Debug, Clone, Copy)]
+struct AnyFate(Fate);
+
+impl Arbitrary for AnyFate {
+    fn arbitrary(g: &mut Gen) -> AnyFate {
+        AnyFate(*g.choose(&[Fate::NotRun, Fate::MayHaveRun, Fate::Ran]).unwrap_or(&Fate::Ran))
+    }
+}
+
+quickcheck! {
+    fn not_run_is_told_only_if_no_attempt_may_have_run(attempts: Vec<AnyFate>) -> bool {
+        let fates: Vec<Fate> = attempts.iter().map(|a| a.0).collect();
+        let told = Outcome::unanswered(Fate::over(&fates));
+        let clean = fates.iter().all(|f| *f == Fate::NotRun);
+        (told == Outcome::NotRun) == clean
+    }
+
+    fn grouping_of_attempts_by_hop_does_not_matter(hops: Vec<Vec<AnyFate>>) -> bool {
+        let per_hop: Vec<Fate> = hops
+            .iter()
+            .map(|hop| Fate::over(&hop.iter().map(|a| a.0).collect::<Vec<_>>()))
+            .collect();
+        let flat: Vec<Fate> = hops.iter().flatten().map(|a| a.0).collect();
+        Fate::over(&per_hop) == Fate::over(&flat)
+    }
+
+    fn covered_and_missing_keys_partition_the_range(ranges: Vec<(u16, u16)>) -> bool {
+        let ranges: Vec<Range> =
+            ranges.iter().map(|(a, b)| Range::new(u32::from(*a), u32::from(*b))).collect();
+        let set = Set::with_ranges(&ranges);
+        let missing = set.missing_from(Range::ALL);
+        let key_by_key = (0..keyspace::SIZE).step_by(251).all(|key| {
+            let covered = ranges.iter().any(|r| r.contains(key));
+            let lacks = missing.ranges().iter().any(|r| r.contains(key));
+            covered != lacks
+        });
+        key_by_key && set.len() + missing.len() == keyspace::SIZE
+    }
+
+    fn a_share_reads_as_whole_only_if_it_is(part: u32, whole: u32) -> bool {
+        let (part, whole) = (u64::from(part), u64::from(whole).max(1));
+        (Share::new(part, whole) == Share::ONE) == (part >= whole)
+    }
+}
+
+fn part(group: u16, range: Range, covered: Range, fate: Fate) -> Part {
+    Part {
+        service: "maps".parse().expect("name"),
+        group: id::Group(group),
+        range,
+        covered: Set::with_ranges(&[covered]),
+        reason: Some(Reason::Failed),
+        fate,
+    }
+}
+
+#[test]
+fn judgement_follows_the_rule_of_the_class() {
+    let check = |rule: &str, covered: u32, fate: Fate, expected: Outcome| {
+        let rule: Coverage = rule.parse().expect("rule");
+        let parts = [part(0, Range::ALL, Range::new(0, covered), fate)];
+        let (outcome, reason) = coverage::judge(rule, &coverage::summarize(&parts));
+        assert_eq!(outcome, expected, "{rule} with {covered} keys");
+        let answered = matches!(outcome, Outcome::Complete | Outcome::Partial);
+        assert_eq!(reason.is_none(), answered);
+    };
+    let half = keyspace::SIZE / 2;
+    check("complete", keyspace::SIZE, Fate::Ran, Outcome::Complete);
+    check("complete", keyspace::SIZE - 1, Fate::Ran, Outcome::Unknown);
+    check("complete", 0, Fate::NotRun, Outcome::NotRun);
+    check("partial from 50%", half, Fate::Ran, Outcome::Partial);
+    check("partial from 50%", half - 1, Fate::Ran, Outcome::Unknown);
+    check("best at deadline", 1, Fate::Ran, Outcome::Partial);
+    check("best at deadline", 0, Fate::MayHaveRun, Outcome::Unknown);
+}
+
+#[test]
+fn keys_outside_of_a_part_do_not_count() {
+    let range = Range::new(0, 100);
+    let parts = [part(0, range, Range::new(50, 200), Fate::Ran)];
+    let summary = coverage::summarize(&parts);
+    assert_eq!(summary.share, Share::new(50, 100));
+    assert_eq!(summary.gaps[0].keys.ranges(), [Range::new(0, 50)]);
+}
--- /dev/null
+++ b/crates/wire/src/upstream.rs
@@ -0,0 +1,110 @@
+//! The upstreams' interface: JSON over HTTP.
+
+use base::{
+    id,
+    keyspace::{Range, Set},
+    unit::{Generation, Version},
+};
+use policy::replica::Window;
+use serde::{Deserialize, Serialize};
+
+use crate::answer::Hit;
+
+/// Path for sub-requests.
+pub const REQUEST: &str = "/v1/request";
+/// Path for the status.
+pub const STATUS: &str = "/v1/status";
+/// Largest reply, in bytes.
+pub const REPLY_LIMIT: usize = 32 << 20;
+
+/// A sub-request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Request {
+    /// The attempt, echoed by the reply.
+    pub attempt: id::Attempt,
+    /// Incarnation of the sending node, echoed by the reply.
+    pub sender: id::Incarnation,
+    /// The service.
+    pub service: id::Service,
+    /// Generation of the plan's shard map.
+    pub map: Generation,
+    /// Index version of the plan.
+    pub version: Option<Version>,
+    /// The keys to cover.
+    pub range: Range,
+    /// Place in the order of service.
+    pub rank: u8,
+    /// Most hits wanted.
+    pub limit: usize,
+    /// Time left, in milliseconds.
+    pub remaining_ms: u64,
+    /// The request.
+    pub body: String,
+}
+
+/// The reply to a sub-request that ran.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Reply {
+    /// The attempt that it belongs to.
+    pub attempt: id::Attempt,
+    /// The sender of that attempt.
+    pub sender: id::Incarnation,
+    /// Incarnation of the upstream.
+    pub incarnation: id::Incarnation,
+    /// Generation of the shard map that the data is of.
+    pub map: Generation,
+    /// Index version that the data is of.
+    pub version: Option<Version>,
+    /// Versions held.
+    pub window: Option<Window>,
+    /// The keys that the data covers.
+    pub covered: Set,
+    /// The documents.
+    pub hits: Vec<Hit>,
+}
+
+/// Why an upstream refused a sub-request; it did not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Refused {
+    /// Load.
+    Shed,
+    /// It leaves.
+    Draining,
+    /// The version or the map is not held.
+    Version,
+}
+
+/// Body of a refusal, with HTTP status 503.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refusal {
+    /// Why.
+    pub refused: Refused,
+    /// Incarnation of the upstream.
+    pub incarnation: id::Incarnation,
+    /// Versions held.
+    pub window: Option<Window>,
+}
+
+/// Status of an upstream, as it says itself; it may lag or mislead.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Status {
+    /// Incarnation.
+    pub incarnation: id::Incarnation,
+    /// Whether it leaves.
+    pub draining: bool,
+    /// Versions held.
+    pub window: Option<Window>,
+    /// Share of its slots in use, in percent.
+    pub load_percent: u32,
+}
+
+/// Writes a message.
+pub fn encode<T: Serialize>(message: &T) -> Vec<u8> {
+    serde_json::to_vec(message).unwrap_or_default()
+}
+
+/// Reads a message.
+pub fn parse<T: for<'a> Deserialize<'a>>(bytes: &[u8]) -> Result<T, serde_json::Error> {
+    serde_json::from_slice(bytes)
+}
