Histories of seeded pairs of faults, checked; sender of an attempt is node and incarnation

Cause: nodes of equal incarnation number attempts alike, so a reply meant for another node could pass for one's own. Ruled out: the leaf's bookkeeping (attempt ids unique per node and group).

--- /dev/null
+++ b/crates/lab/src/cluster.rs
@@ -0,0 +1,407 @@
+//! A deployment in memory on virtual time: real nodes, stand-ins for everything else.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use base::{
+    clock::{Anchored, Clock, Runtime},
+    id,
+    keyspace::Range,
+    unit::Generation,
+};
+use config::{
+    deployment::{Caller, Class, Coverage, Deployment, FORMAT, Group, Priority, Server, Service},
+    settings::{Routing, Settings},
+};
+use node::{
+    context::{Context, Edges},
+    edge::{self, Pending, Sub, UpstreamError},
+    node::Node,
+};
+use parking_lot::Mutex;
+use policy::group;
+use standin::{farm::Farm, history::Log, mesh::Mesh, platform::Platform, service_time::Shape};
+use tokio_util::sync::CancellationToken;
+use wire::{
+    answer, caller,
+    platform::{State, Vm},
+    upstream,
+};
+
+/// Service with an index version.
+pub const SEARCH: &str = "search";
+/// Service without one, for non-idempotent requests.
+pub const LEDGER: &str = "ledger";
+/// Class that goes first.
+pub const FIRST: &str = "first";
+/// Class that does not.
+pub const SECOND: &str = "second";
+/// Class whose requests run at most once.
+pub const ONCE: &str = "once";
+/// The set of callers that may use every class.
+pub const CALLER: &str = "tester";
+
+const WALL_ORIGIN: Duration = Duration::from_secs(1_700_000_000);
+const DOMAINS: [&str; 3] = ["north", "middle", "south"];
+
+/// Shape of a cluster.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Nodes in each of the three failure domains.
+    pub nodes_per_domain: usize,
+    /// Shard groups of the search service.
+    pub groups: usize,
+    /// Service time of upstreams.
+    pub shape: Shape,
+    /// Routing of sub-requests.
+    pub routing: Routing,
+    /// Mechanisms of the leaves.
+    pub mechanisms: group::Options,
+    /// Rule on partial answers of the classes for searches.
+    pub coverage: Coverage,
+    /// Deadline of the classes.
+    pub deadline: Duration,
+    /// Seed of all random choices.
+    pub seed: u64,
+}
+
+impl Options {
+    /// 18 nodes and 25 groups, as users run today.
+    pub fn new(shape: Shape, seed: u64) -> Options {
+        Options {
+            nodes_per_domain: 6,
+            groups: 25,
+            shape,
+            routing: Routing::Cells,
+            mechanisms: group::Options::default(),
+            coverage: Coverage::Best,
+            deadline: Duration::from_secs(1),
+            seed,
+        }
+    }
+}
+
+/// A caller's request that did not get an answer from the node it was sent to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Lost;
+
+/// Upstreams as a node that can be killed sees them: once killed, it sends nothing.
+#[derive(Debug)]
+struct Guarded {
+    farm: Farm,
+    killed: CancellationToken,
+}
+
+impl edge::Upstream for Guarded {
+    fn request(&self, sub: Sub) -> Pending<'static, Result<upstream::Reply, UpstreamError>> {
+        let (request, killed) = (self.farm.request(sub), self.killed.clone());
+        Box::pin(async move {
+            tokio::select! {
+                biased;
+                () = killed.cancelled() => std::future::pending().await,
+                result = request => result,
+            }
+        })
+    }
+
+    fn status(
+        &self,
+        upstream: id::Upstream,
+    ) -> Pending<'static, Result<upstream::Status, UpstreamError>> {
+        self.farm.status(upstream)
+    }
+}
+
+/// A deployment in memory.
+#[derive(Debug)]
+pub struct Cluster {
+    /// Its shape.
+    pub options: Options,
+    /// Links between nodes.
+    pub mesh: Mesh,
+    /// Upstreams.
+    pub farm: Farm,
+    /// What they saw.
+    pub log: Log,
+    /// The platform's service.
+    pub platform: Platform,
+    nodes: Mutex<Vec<Arc<Node>>>,
+    clock: Arc<dyn Clock>,
+}
+
+impl Cluster {
+    /// Starts a cluster, with its nodes listed at the platform, and waits until they are ready.
+    pub async fn start(options: Options) -> Cluster {
+        let clock: Arc<dyn Clock> = Arc::new(Runtime);
+        let log = Log::new();
+        let deployment = deployment(&options, Generation(1), Generation(1), options.groups);
+        let farm = Farm::new(&deployment, options.shape, UPSTREAM_DELAY, &log, options.seed);
+        let platform = Platform::new();
+        platform.publish(deployment.generation, deployment.to_bytes());
+        let mesh = Mesh::new(NODE_DELAY, options.seed);
+        let cluster =
+            Cluster { options, mesh, farm, log, platform, nodes: Mutex::default(), clock };
+        let count = cluster.options.nodes_per_domain * DOMAINS.len();
+        let vms = (0..count).map(|i| Vm { address: address(i, PEERS).0, state: State::Live });
+        let vms = vms.collect();
+        cluster.platform.change(|state| state.vms = vms);
+        for index in 0..count {
+            let node = cluster.make(index, 1);
+            cluster.nodes.lock().push(node);
+        }
+        cluster.settle().await;
+        cluster
+    }
+
+    /// Waits until each running node is ready and sees all the others.
+    pub async fn settle(&self) {
+        let count = self.nodes().len();
+        let settled = |n: &Arc<Node>| n.is_ready() && n.context.view().len() + 1 >= count;
+        for _ in 0..SETTLE_POLLS {
+            if self.nodes().iter().all(settled) {
+                return;
+            }
+            tokio::time::sleep(SETTLE_POLL).await;
+        }
+    }
+
+    fn make(&self, index: usize, incarnation: u64) -> Arc<Node> {
+        let peers = address(index, PEERS);
+        let port = Arc::new(self.mesh.port(peers));
+        let killed = CancellationToken::new();
+        let upstream = Guarded { farm: self.farm.clone(), killed: killed.clone() };
+        let edges = Edges {
+            upstream: Arc::new(upstream),
+            peer: port.clone(),
+            platform: Arc::new(self.platform.clone()),
+            network: port,
+            clock: self.clock.clone(),
+        };
+        let anchored = Anchored::with_origin(self.clock.clone(), WALL_ORIGIN + self.age());
+        let seed = self.options.seed
+            ^ base::hash::stable(&[&index.to_be_bytes(), &incarnation.to_be_bytes()]);
+        let settings = settings(&self.options, index);
+        let context = Context::new(settings, id::Incarnation(incarnation), edges, anchored, seed)
+            .with_options(self.options.mechanisms);
+        let node = Arc::new(Node::new(context, killed));
+        self.mesh.add(&node);
+        node.start();
+        node
+    }
+
+    fn age(&self) -> Duration {
+        let nodes = self.nodes.lock();
+        let oldest = nodes.first().map(|n| n.context.anchored.unix_ms());
+        oldest.map_or(Duration::ZERO, |ms| Duration::from_millis(ms).saturating_sub(WALL_ORIGIN))
+    }
+
+    /// The running nodes.
+    pub fn nodes(&self) -> Vec<Arc<Node>> {
+        self.nodes.lock().iter().filter(|n| !n.cancel().is_cancelled()).cloned().collect()
+    }
+
+    /// Node `index`, running or not.
+    pub fn node(&self, index: usize) -> Arc<Node> {
+        let nodes = self.nodes.lock();
+        nodes[index % nodes.len()].clone()
+    }
+
+    /// Number of nodes, running or not.
+    pub fn len(&self) -> usize {
+        self.nodes.lock().len()
+    }
+
+    /// Whether there are no nodes.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Ends a node without notice.
+    pub fn kill(&self, index: usize) {
+        let node = self.node(index);
+        node.cancel().cancel();
+        self.mesh.remove(node.context.node);
+    }
+
+    /// Starts a new process at the address of node `index`.
+    pub fn restart(&self, index: usize) {
+        let old = self.node(index);
+        old.cancel().cancel();
+        let node = self.make(index, old.context.incarnation.0 + 1);
+        self.nodes.lock()[index] = node;
+    }
+
+    /// Publishes the configuration as `generation`, with shard map `map` of `groups` groups.
+    pub fn publish(&self, generation: Generation, map: Generation, groups: usize) -> Deployment {
+        let deployment = deployment(&self.options, generation, map, groups);
+        self.platform.publish(generation, deployment.to_bytes());
+        deployment
+    }
+
+    /// Sends a search to a node as a caller would, over a link that fails if the node is killed.
+    pub async fn search(
+        &self,
+        node: &Arc<Node>,
+        call: caller::Search,
+    ) -> Result<answer::Search, Lost> {
+        let (target, killed) = (node.clone(), node.cancel().clone());
+        let serving = async move { target.search(call).await };
+        deliver(killed, serving).await?.map_err(|_| Lost)
+    }
+
+    /// Sends a non-idempotent request to a node.
+    pub async fn run(&self, node: &Arc<Node>, call: caller::Run) -> Result<answer::Run, Lost> {
+        let (target, killed) = (node.clone(), node.cancel().clone());
+        let serving = async move { target.run(call).await };
+        deliver(killed, serving).await?.map_err(|_| Lost)
+    }
+
+    /// Addresses of the nodes for other nodes.
+    pub fn addresses(&self) -> Vec<id::Node> {
+        (0..self.len()).map(|i| address(i, PEERS)).collect()
+    }
+}
+
+const UPSTREAM_DELAY: Duration = Duration::from_millis(1);
+const NODE_DELAY: Duration = Duration::from_millis(1);
+const SETTLE_POLL: Duration = Duration::from_millis(50);
+const SETTLE_POLLS: usize = 400;
+const PEERS: u16 = 7_100;
+const CALLERS: u16 = 7_000;
+const OPERATORS: u16 = 7_200;
+
+async fn deliver<T: Send + 'static>(
+    killed: CancellationToken,
+    serving: impl Future<Output = T> + Send + 'static,
+) -> Result<T, Lost> {
+    if killed.is_cancelled() {
+        return Err(Lost);
+    }
+    // A task of its own: the node goes on even if the caller does not wait.
+    let task = tokio::spawn(serving);
+    tokio::select! {
+        biased;
+        () = killed.cancelled() => Err(Lost),
+        result = task => result.map_err(|_| Lost),
+    }
+}
+
+fn address(index: usize, port: u16) -> id::Node {
+    let [high, low] = (index as u16).to_be_bytes();
+    id::Node(SocketAddr::from(([10, 1, high, low], port)))
+}
+
+fn name<T: std::str::FromStr>(text: &str) -> T {
+    let parsed = text.parse();
+    parsed.unwrap_or_else(|_| unreachable!("{text} is a constant name"))
+}
+
+fn settings(options: &Options, index: usize) -> Settings {
+    Settings {
+        deployment: name("test"),
+        domain: name(DOMAINS[index % DOMAINS.len()]),
+        callers: address(index, CALLERS).0,
+        peers: address(index, PEERS).0,
+        operators: address(index, OPERATORS).0,
+        platform: address(usize::from(u16::MAX), PEERS).0,
+        routing: options.routing,
+        address_validity: Duration::from_secs(5),
+        id_validity: Duration::from_secs(10),
+        stop_limit: Duration::from_secs(60),
+        requests: 1_000,
+        body_limit: 1 << 20,
+        io_timeout: Duration::from_secs(5),
+        threads: 1,
+        log_level: "off".to_owned(),
+        statsd: None,
+        otlp: None,
+    }
+}
+
+/// Upstreams of a group.
+const REPLICAS: usize = 3;
+const SLOTS: u32 = 3;
+const CONNECTIONS: u32 = 65;
+
+/// The configuration of a cluster. With fewer groups than the cluster was made with, some
+/// upstreams are left without work; with more, group `g` shares its upstreams with another.
+pub fn deployment(
+    options: &Options,
+    generation: Generation,
+    map: Generation,
+    groups: usize,
+) -> Deployment {
+    let server = |service: u8, group: usize, replica: usize| {
+        let number = (group * REPLICAS + replica) as u16;
+        let [high, low] = number.to_be_bytes();
+        let address = SocketAddr::from(([10, 10 + service, high, low], 8_000));
+        let domain = name(DOMAINS[replica % DOMAINS.len()]);
+        Server { upstream: id::Upstream(address), domain, leaving: false }
+    };
+    let group = |service: u8, index: usize, count: usize| Group {
+        range: Range::part(index as u32, count as u32),
+        servers: (0..REPLICAS).map(|r| server(service, index, r)).collect(),
+    };
+    let service = |text: &str, number: u8, versioned, map, count: usize| Service {
+        name: name(text),
+        versioned,
+        slots: SLOTS,
+        connections: CONNECTIONS,
+        connection_setup_ms: 6,
+        map,
+        groups: (0..count).map(|g| group(number, g, count)).collect(),
+    };
+    let class = |text: &str, service: &str, rank, at_most_once| Class {
+        name: name(text),
+        services: vec![name(service)],
+        rank,
+        deadline_ms: options.deadline.as_millis() as u64,
+        coverage: options.coverage,
+        at_most_once,
+    };
+    let classes = vec![
+        class(FIRST, SEARCH, 0, false),
+        class(SECOND, SEARCH, 1, false),
+        class(ONCE, LEDGER, 1, true),
+    ];
+    Deployment {
+        format: FORMAT,
+        name: name("test"),
+        generation,
+        weigh_most: Priority::TailLatency,
+        domains: DOMAINS.iter().map(|d| name(d)).collect(),
+        callers: vec![Caller {
+            name: name(CALLER),
+            classes: classes.iter().map(|c| c.name.clone()).collect(),
+        }],
+        classes,
+        services: vec![
+            service(SEARCH, 0, true, map, groups),
+            service(LEDGER, 1, false, Generation(1), 2),
+        ],
+    }
+}
+
+/// A search for `query` in `class`.
+pub fn search(class: &str, query: &str) -> caller::Search {
+    caller::Search {
+        caller: name(CALLER),
+        class: name(class),
+        services: vec![name(SEARCH)],
+        query: query.to_owned(),
+        limit: None,
+        deadline_ms: None,
+    }
+}
+
+/// A non-idempotent request with `body` under `id`.
+pub fn run(body: &str, id: Option<policy::home::Id>) -> caller::Run {
+    caller::Run {
+        caller: name(CALLER),
+        class: name(ONCE),
+        service: name(LEDGER),
+        key: body.to_owned(),
+        body: body.to_owned(),
+        id,
+        deadline_ms: None,
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,3 +1,6 @@
 //! Experiments and checks of concurrent runs, driving the real code with small stand-ins.
 
+pub mod chaos;
+pub mod check;
+pub mod cluster;
 pub mod local;
--- /dev/null
+++ b/crates/lab/tests/check.rs
@@ -0,0 +1,124 @@
+//! Each check fails on a history made to break it, and on no other.
+
+use base::{
+    id,
+    keyspace::{Range, Set},
+    unit::{Generation, Share, Version},
+};
+use lab::check::{self, Record, Run, Search};
+use policy::{
+    coverage::Gap,
+    outcome::{Outcome, Reason},
+};
+use smol_str::SmolStr;
+use standin::history::Event;
+use wire::answer::{self, Hit, Snapshot};
+
+fn ran(body: &str, version: u64, range: Range) -> Event {
+    Event::Ran {
+        upstream: "10.0.0.1:80".parse().expect("address"),
+        service: "search".parse().expect("name"),
+        body: SmolStr::new(body),
+        map: Generation(1),
+        version: Some(Version(version)),
+        covered: Set::with_ranges(&[range]),
+    }
+}
+
+fn hit(body: &str, key: u32, version: u64) -> Hit {
+    Hit { key, score: 0.5, document: format!("search|{key}|{version}|{body}").into() }
+}
+
+fn sound_search() -> Search {
+    let snapshot = Snapshot {
+        service: "search".parse().expect("name"),
+        map: Generation(1),
+        version: Some(Version(1)),
+    };
+    let answer = answer::Search {
+        outcome: Outcome::Complete,
+        reason: None,
+        retry_after_ms: None,
+        snapshot: vec![snapshot],
+        coverage: Share::ONE,
+        missing: Vec::new(),
+        hits: vec![hit("q", 0, 1), hit("q", 9, 1)],
+        trace: SmolStr::default(),
+    };
+    Search { query: "q".into(), answer }
+}
+
+fn told(outcome: Outcome, body: Option<&str>) -> answer::Run {
+    let refused = answer::Run::refused(outcome, Reason::Lost);
+    answer::Run { body: body.map(SmolStr::new), ..refused }
+}
+
+fn send(record: &mut Record, send: usize, told: Option<answer::Run>) {
+    let call = Run { body: "order".into(), send, told: None, is_call: true };
+    record.runs.push(call.clone());
+    record.runs.push(Run { told, is_call: false, ..call });
+}
+
+fn sound() -> Record {
+    let mut record = Record { searches: vec![sound_search()], ..Record::default() };
+    record.events = vec![ran("q", 1, Range::ALL), ran("order", 1, Range::ALL)];
+    send(&mut record, 0, Some(told(Outcome::Complete, Some("done|order"))));
+    record
+}
+
+#[test]
+fn a_sound_history_passes() {
+    assert_eq!(check::all(&sound()), []);
+}
+
+#[test]
+fn each_planted_violation_is_found() {
+    let check = |name: &str, plant: fn(&mut Record)| {
+        let mut record = sound();
+        plant(&mut record);
+        let found: Vec<&str> = check::all(&record).iter().map(|v| v.check).collect();
+        assert!(found.contains(&name), "{name} not among {found:?}");
+    };
+    check("own answer", |r| r.searches[0].answer.hits.push(hit("other", 3, 1)));
+    check("own answer", |r| r.searches[0].answer.hits[0].document = "search|0|1".into());
+    check("one snapshot", |r| r.searches[0].answer.hits.push(hit("q", 3, 2)));
+    check("consistent answer", |r| r.searches[0].answer.coverage = Share::with_percent(90.0));
+    check("consistent answer", |r| r.searches[0].answer.outcome = Outcome::Partial);
+    check("consistent answer", |r| {
+        let (service, group) = ("search".parse().expect("name"), id::Group(0));
+        let keys = Set::with_ranges(&[Range::new(0, 1_000)]);
+        r.searches[0].answer.missing.push(Gap { service, group, keys, reason: Reason::Lost });
+        r.searches[0].answer.outcome = Outcome::Partial;
+        r.searches[0].answer.coverage = Share::with_percent(99.0);
+    });
+    check("true coverage", |r| r.events[0] = ran("q", 1, Range::new(0, 60_000)));
+    check("true coverage", |r| r.events[0] = ran("q", 2, Range::ALL));
+    check("true coverage", |r| r.events[0] = ran("other", 1, Range::ALL));
+    check("not run", |r| {
+        r.searches[0].answer = answer::Search::refused(Outcome::NotRun, Reason::Overload);
+    });
+    check("at most once", |r| r.events.push(ran("order", 1, Range::ALL)));
+    check("told as it was", |r| send(r, 1, Some(told(Outcome::NotRun, None))));
+    check("told as it was", |r| {
+        r.events.pop();
+    });
+    check("told as it was", |r| send(r, 1, Some(told(Outcome::Complete, Some("done|other")))));
+    check("one story", |r| send(r, 1, Some(told(Outcome::NotRun, None))));
+}
+
+#[test]
+fn concurrent_sends_may_be_told_in_either_order_but_not_both() {
+    let mut record = sound();
+    record.runs.clear();
+    let call = |send| Run { body: "order".into(), send, told: None, is_call: true };
+    let answer = |send, told| Run { told: Some(told), is_call: false, ..call(send) };
+    record.runs = vec![
+        call(0),
+        call(1),
+        answer(0, told(Outcome::Unknown, None)),
+        answer(1, told(Outcome::Complete, Some("done|order"))),
+    ];
+    assert_eq!(check::one_story(&record), None);
+    record.runs[2] = answer(0, told(Outcome::NotRun, None));
+    assert!(check::one_story(&record).is_some());
+}
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -132,6 +132,11 @@
         self.edges.clock.now()
     }
 
+    /// This process, as upstreams are told.
+    pub fn sender(&self) -> wire::upstream::Sender {
+        wire::upstream::Sender { node: self.node, incarnation: self.incarnation }
+    }
+
     /// Opening of requests to other nodes.
     pub fn hello(&self) -> Hello {
         Hello { protocol: heartbeat::PROTOCOL, deployment: self.settings.deployment.clone() }
--- a/crates/node/src/slot.rs
+++ b/crates/node/src/slot.rs
@@ -102,7 +102,7 @@
         };
         let request = upstream::Request {
             attempt: id::Attempt(0),
-            sender: self.context.incarnation,
+            sender: self.context.sender(),
             service: self.service.clone(),
             map: query.map,
             version: query.version,
@@ -319,7 +319,7 @@
         let plan = state.group.ticket_of(attempt).and_then(|t| state.pending.get(&t));
         let Some(plan) = plan.map(|p| &p.request) else { return (Reply::Bad, None) };
         let belongs = reply.attempt == attempt
-            && reply.sender == self.context.incarnation
+            && reply.sender == self.context.sender()
             && reply.map == plan.map
             && (!self.versioned || reply.version == plan.version);
         if !belongs {
--- /dev/null
+++ b/crates/policy/tests/group.rs
@@ -0,0 +1,274 @@
+//! Scheduler of a group: limits, order, hedges, retries.
+
+use std::time::{Duration, Instant};
+
+use base::{id, unit::Version};
+use policy::{
+    group::{Action, End, Env, Group, Job, QUEUE_LIMIT, Reply, Ticket},
+    outcome::{Fate, Reason},
+    replica::{Replica, Window},
+};
+use quickcheck::quickcheck;
+use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
+
+const SLOTS: u32 = 3;
+
+struct Bench {
+    group: Group,
+    rng: ChaCha8Rng,
+    now: Instant,
+    suspect: Option<u64>,
+    sent: Vec<(Ticket, id::Attempt, id::Upstream)>,
+    cancelled: Vec<id::Attempt>,
+    ended: Vec<(Ticket, End)>,
+}
+
+fn upstream(index: u16) -> id::Upstream {
+    id::Upstream(([10, 0, 0, 1], 100 + index).into())
+}
+
+impl Bench {
+    fn new() -> Bench {
+        let replicas = (0..3).map(|i| Replica::new(upstream(i), SLOTS, false)).collect();
+        Bench {
+            group: Group::new(replicas, SLOTS, 0),
+            rng: ChaCha8Rng::seed_from_u64(1),
+            now: Instant::now(),
+            suspect: None,
+            sent: Vec::new(),
+            cancelled: Vec::new(),
+            ended: Vec::new(),
+        }
+    }
+
+    fn job(&self) -> Job {
+        let deadline = self.now + Duration::from_millis(100);
+        Job { rank: 0, deadline, idempotent: true, version: None, fingerprint: 1 }
+    }
+
+    fn step<T>(
+        &mut self,
+        f: impl FnOnce(&mut Group, Instant, &mut Env<'_>, &mut Vec<Action>) -> T,
+    ) -> T {
+        let suspected = self.suspect;
+        let suspect = |f| suspected == Some(f);
+        let mut env = Env { rng: &mut self.rng, suspect: &suspect };
+        let mut actions = Vec::new();
+        let result = f(&mut self.group, self.now, &mut env, &mut actions);
+        for action in actions {
+            match action {
+                Action::Send { ticket, attempt, upstream } => {
+                    self.sent.push((ticket, attempt, upstream))
+                }
+                Action::Cancel { attempt } => self.cancelled.push(attempt),
+                Action::Finish { ticket, end } => self.ended.push((ticket, end)),
+            }
+        }
+        result
+    }
+
+    fn submit(&mut self, job: Job) -> Ticket {
+        self.step(|g, now, env, out| g.submit(now, job, env, out))
+    }
+
+    fn reply(&mut self, attempt: id::Attempt, reply: Reply) {
+        self.step(|g, now, env, out| g.reply(now, attempt, reply, env, out));
+    }
+
+    fn pass(&mut self, time: Duration) {
+        self.now += time;
+        self.step(|g, now, env, out| g.poll(now, env, out));
+    }
+
+    /// Runs enough jobs for the group to know its latency.
+    fn learn(&mut self) {
+        for _ in 0..200 {
+            let job = self.job();
+            self.submit(job);
+            let (_, attempt, _) = *self.sent.last().expect("sent at once");
+            self.now += Duration::from_millis(5);
+            self.reply(attempt, Reply::Done);
+        }
+        self.sent.clear();
+        self.ended.clear();
+        self.cancelled.clear();
+    }
+}
+
+#[test]
+fn a_straggler_is_hedged_elsewhere_and_the_loser_is_cancelled() {
+    let mut bench = Bench::new();
+    bench.learn();
+    let job = bench.job();
+    let ticket = bench.submit(job);
+    bench.pass(Duration::from_millis(8));
+    let [(_, first, one), (_, second, other)] = bench.sent[..] else { panic!("{:?}", bench.sent) };
+    assert_ne!(one, other);
+    bench.reply(second, Reply::Done);
+    assert_eq!(bench.ended, [(ticket, End::Done)]);
+    assert_eq!(bench.cancelled, [first]);
+    assert_eq!(bench.group.in_flight(), 0);
+}
+
+#[test]
+fn non_idempotent_jobs_are_never_hedged_nor_repeated_after_they_may_have_run() {
+    for (reply, attempts, fate) in [
+        (Reply::Lost, 1, Fate::MayHaveRun),
+        (Reply::Bad, 1, Fate::MayHaveRun),
+        (Reply::Failed, 1, Fate::Ran),
+    ] {
+        let mut bench = Bench::new();
+        bench.learn();
+        let job = Job { idempotent: false, ..bench.job() };
+        bench.submit(job);
+        bench.pass(Duration::from_millis(50));
+        bench.reply(bench.sent[0].1, reply);
+        bench.pass(Duration::from_millis(20));
+        assert_eq!(bench.sent.len(), attempts, "{reply:?}");
+        assert!(matches!(bench.ended[0].1, End::Failed { fate: f, .. } if f == fate), "{reply:?}");
+    }
+}
+
+#[test]
+fn non_idempotent_jobs_go_on_after_a_refusal_before_running() {
+    for reply in [Reply::Shed, Reply::Draining, Reply::Unreached, Reply::VersionMissing] {
+        let mut bench = Bench::new();
+        let job = Job { idempotent: false, ..bench.job() };
+        bench.submit(job);
+        bench.reply(bench.sent[0].1, reply);
+        bench.pass(Duration::from_millis(20));
+        assert_eq!(bench.sent.len(), 2, "{reply:?}");
+    }
+}
+
+#[test]
+fn what_expired_while_the_process_was_paused_is_not_sent() {
+    let mut bench = Bench::new();
+    let places = 3 * SLOTS as usize;
+    for _ in 0..places + 5 {
+        let job = Job { idempotent: false, ..bench.job() };
+        bench.submit(job);
+    }
+    assert_eq!((bench.sent.len(), bench.group.queued()), (places, 5));
+    bench.pass(Duration::from_secs(10));
+    assert_eq!(bench.sent.len(), places);
+    let ends = |fate| {
+        bench
+            .ended
+            .iter()
+            .filter(|(_, e)| *e == End::Failed { reason: Reason::Deadline, fate })
+            .count()
+    };
+    assert_eq!((ends(Fate::NotRun), ends(Fate::MayHaveRun)), (5, places));
+}
+
+#[test]
+fn the_first_class_goes_first() {
+    let mut bench = Bench::new();
+    for _ in 0..20 {
+        let job = Job { rank: 1, ..bench.job() };
+        bench.submit(job);
+    }
+    let job = bench.job();
+    let first = bench.submit(job);
+    let before = bench.sent.len();
+    bench.reply(bench.sent[0].1, Reply::Done);
+    assert_eq!(bench.sent[before].0, first);
+}
+
+#[test]
+fn a_full_queue_refuses_the_lowest_rank() {
+    let mut bench = Bench::new();
+    for _ in 0..QUEUE_LIMIT + 9 {
+        let job = Job { rank: 1, ..bench.job() };
+        bench.submit(job);
+    }
+    assert!(bench.ended.is_empty());
+    let job = bench.job();
+    let first = bench.submit(job);
+    let refused = End::Failed { reason: Reason::Overload, fate: Fate::NotRun };
+    assert_eq!(bench.ended.len(), 1);
+    assert!(bench.ended[0].0 != first && bench.ended[0].1 == refused);
+}
+
+#[test]
+fn suspects_are_not_sent() {
+    let mut bench = Bench::new();
+    bench.suspect = Some(1);
+    let job = bench.job();
+    bench.submit(job);
+    assert!(bench.sent.is_empty());
+    let refused = End::Failed { reason: Reason::Quarantined, fate: Fate::NotRun };
+    assert_eq!(bench.ended[0].1, refused);
+}
+
+#[test]
+fn a_leaving_upstream_gets_no_new_work_until_it_is_another_process() {
+    let mut bench = Bench::new();
+    let one = upstream(0);
+    let leaving = |bench: &mut Bench, f: &dyn Fn(&mut Replica)| {
+        f(bench.group.replica_mut(one).expect("known"))
+    };
+    leaving(&mut bench, &|r| {
+        r.incarnated(id::Incarnation(1));
+        r.leaves(Some(id::Incarnation(1)));
+    });
+    let used = |bench: &mut Bench| {
+        bench.sent.clear();
+        for _ in 0..6 {
+            let job = bench.job();
+            bench.submit(job);
+        }
+        let used = bench.sent.iter().any(|(_, _, u)| *u == one);
+        let attempts: Vec<_> = bench.sent.iter().map(|(_, a, _)| *a).collect();
+        attempts.into_iter().for_each(|a| bench.reply(a, Reply::Done));
+        used
+    };
+    assert!(!used(&mut bench));
+    leaving(&mut bench, &|r| r.incarnated(id::Incarnation(1)));
+    assert!(!used(&mut bench), "the drain is sticky");
+    leaving(&mut bench, &|r| r.incarnated(id::Incarnation(2)));
+    assert!(used(&mut bench));
+}
+
+#[test]
+fn a_version_that_no_replica_holds_ends_the_job_without_running() {
+    let mut bench = Bench::new();
+    for i in 0..3 {
+        let window = Window { oldest: Version(2), newest: Version(3) };
+        bench.group.replica_mut(upstream(i)).expect("known").window = Some(window);
+    }
+    let job = Job { version: Some(Version(1)), ..bench.job() };
+    bench.submit(job);
+    assert_eq!(bench.ended[0].1, End::Failed { reason: Reason::Version, fate: Fate::NotRun });
+}
+
+quickcheck! {
+    /// Places are given back whatever happens: after all replies, nothing is in flight.
+    fn no_place_leaks(steps: Vec<(u8, u8)>) -> bool {
+        let replies = [Reply::Done, Reply::Failed, Reply::Shed, Reply::Draining, Reply::Unreached,
+            Reply::Lost, Reply::Bad, Reply::VersionMissing];
+        let mut bench = Bench::new();
+        for (step, choice) in steps {
+            match step % 4 {
+                0 | 1 => {
+                    let job = Job { rank: choice % 2, idempotent: choice % 3 > 0, ..bench.job() };
+                    bench.submit(job);
+                }
+                2 if !bench.sent.is_empty() => {
+                    let (_, attempt, _) = bench.sent[usize::from(choice) % bench.sent.len()];
+                    let reply = replies[usize::from(choice) % replies.len()];
+                    bench.reply(attempt, reply);
+                }
+                _ => bench.pass(Duration::from_millis(u64::from(choice))),
+            }
+        }
+        bench.pass(Duration::from_secs(1));
+        bench.pass(Duration::from_secs(1));
+        let idle = bench.group.replicas().iter().all(|r| r.in_flight() == 0);
+        let ended: std::collections::HashSet<_> = bench.ended.iter().map(|(t, _)| *t).collect();
+        let once = ended.len() == bench.ended.len();
+        let all = bench.ended.len() as u64 == bench.group.counts().jobs;
+        idle && bench.group.in_flight() == 0 && once && all
+    }
+}
--- a/crates/standin/src/upstream.rs
+++ b/crates/standin/src/upstream.rs
@@ -53,7 +53,7 @@
     pub fail: f64,
     /// Share of requests whose connection is lost while they run.
     pub lose: f64,
-    /// Share of replies that carry another attempt's number.
+    /// Share of replies that are the reply to an earlier request.
     pub cross: f64,
     /// Share of replies that cover only half of their range.
     pub halve: f64,
@@ -109,6 +109,7 @@
     behaviour: Mutex<Behaviour>,
     incarnation: Mutex<id::Incarnation>,
     rng: Mutex<ChaCha8Rng>,
+    last_reply: Mutex<Option<Reply>>,
     log: Log,
 }
 
@@ -140,6 +141,7 @@
             behaviour: Mutex::new(behaviour),
             incarnation: Mutex::new(id::Incarnation(1)),
             rng: Mutex::new(ChaCha8Rng::seed_from_u64(seed ^ salt)),
+            last_reply: Mutex::default(),
             log,
         }
     }
@@ -251,10 +253,8 @@
         if self.draw() < behaviour.fail {
             return Err(Failure::Failed);
         }
-        let crossed = self.draw() < behaviour.cross;
-        let attempt = id::Attempt(request.attempt.0 + u64::from(crossed));
-        Ok(Reply {
-            attempt,
+        let reply = Reply {
+            attempt: request.attempt,
             sender: request.sender,
             incarnation: started,
             map: request.map,
@@ -262,7 +262,10 @@
             window: behaviour.window,
             hits: hits(&request, version, &covered),
             covered,
-        })
+        };
+        let earlier = self.last_reply.lock().replace(reply.clone());
+        let crossed = self.draw() < behaviour.cross;
+        Ok(earlier.filter(|_| crossed).unwrap_or(reply))
     }
 
     fn crash(self: &Arc<Upstream>, body: SmolStr) {
--- a/crates/wire/src/upstream.rs
+++ b/crates/wire/src/upstream.rs
@@ -17,13 +17,22 @@
 /// Largest reply, in bytes.
 pub const REPLY_LIMIT: usize = 32 << 20;
 
+/// The process that sent an attempt. Attempts are numbered within it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sender {
+    /// The node.
+    pub node: id::Node,
+    /// Its incarnation.
+    pub incarnation: id::Incarnation,
+}
+
 /// A sub-request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Request {
     /// The attempt, echoed by the reply.
     pub attempt: id::Attempt,
-    /// Incarnation of the sending node, echoed by the reply.
-    pub sender: id::Incarnation,
+    /// The sending process, echoed by the reply.
+    pub sender: Sender,
     /// The service.
     pub service: id::Service,
     /// Generation of the plan's shard map.
@@ -48,7 +57,7 @@
     /// The attempt that it belongs to.
     pub attempt: id::Attempt,
     /// The sender of that attempt.
-    pub sender: id::Incarnation,
+    pub sender: Sender,
     /// Incarnation of the upstream.
     pub incarnation: id::Incarnation,
     /// Generation of the shard map that the data is of.
