--- /dev/null
+++ b/crates/balsamgate/tests/process.rs
@@ -0,0 +1,101 @@
+//! The program itself: runs from a settings file, answers callers, stops cleanly.
+
+use std::{
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    time::Duration,
+};
+
+use client::Client;
+use http::HeaderMap;
+use lab::local::{self, Surroundings};
+use policy::outcome::Outcome;
+use standin::service_time::Shape;
+use wire::{
+    caller,
+    platform::{State, Vm},
+};
+
+const QUESTIONNAIRE: &str = include_str!("../../../examples/deployments/beltran.ini");
+const PROGRAM: &str = env!("CARGO_BIN_EXE_balsamgate");
+
+fn settings_file(name: &str, text: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, text).expect("written");
+    path
+}
+
+fn terminate(child: &Child) {
+    let pid = child.id().to_string();
+    let sent = Command::new("kill").args(["-TERM", &pid]).status().expect("kill runs");
+    assert!(sent.success());
+}
+
+fn search(query: &str) -> caller::Search {
+    caller::Search {
+        caller: "inspectors".parse().expect("name"),
+        class: "closure".parse().expect("name"),
+        services: vec!["batch-closure".parse().expect("name"), "lease-maps".parse().expect("name")],
+        query: query.to_owned(),
+        limit: None,
+        deadline_ms: None,
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_node_answers_and_stops_on_sigterm_after_what_it_serves() {
+    let deployment = config::questionnaire::generate("beltran.ini", QUESTIONNAIRE).expect("valid");
+    let slow = Shape::Fixed(Duration::from_millis(20));
+    let around = Surroundings::start(deployment, true, slow, 1).await.expect("stand-ins");
+    let place = local::places(1).expect("ports")[0];
+    let vm = Vm { address: place.peers, state: State::Live };
+    around.platform.change(|state| state.vms = vec![vm]);
+    let text = local::settings_text(&around.settings(0, place));
+    let path = settings_file("node.ini", &text);
+    let mut child = Command::new(PROGRAM)
+        .args(["run", "--settings"])
+        .arg(&path)
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("started");
+
+    let client = Client::new("inspectors", vec![place.callers]);
+    let mut answer = None;
+    for _ in 0..600 {
+        let asked = client.search(place.callers, &search("veda"), &HeaderMap::new()).await;
+        if let Ok(complete) = asked.map_err(drop).and_then(|a| match a.outcome {
+            Outcome::Complete => Ok(a),
+            _ => Err(()),
+        }) {
+            answer = Some(complete);
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let answer = answer.expect("a complete answer");
+    assert_eq!((answer.hits.len(), answer.missing.len(), answer.snapshot.len()), (50, 0, 2));
+
+    terminate(&child);
+    // The node serves those who still hold its address.
+    let held = client.search(place.callers, &search("lotes"), &HeaderMap::new()).await;
+    assert_eq!(held.expect("served").outcome, Outcome::Complete);
+    let status = tokio::task::spawn_blocking(move || child.wait()).await.expect("joined");
+    assert_eq!(status.expect("waited").code(), Some(0));
+}
+
+#[test]
+fn exit_codes_and_errors() {
+    let check = |arguments: &[&str], code: i32, error: &str| {
+        let output = Command::new(PROGRAM).args(arguments).output().expect("runs");
+        let text = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!(output.status.code(), Some(code), "{arguments:?}: {text}");
+        assert!(text.contains(error), "{arguments:?}: {text}");
+    };
+    let broken = settings_file("broken.ini", "[node]\ndeployment = D\n");
+    let broken = broken.to_str().expect("text");
+    check(&["settings"], 0, "");
+    check(&["check", "--settings", broken], 1, "broken.ini:2: [node] deployment: read \"D\"");
+    check(&["run", "--settings", broken], 1, "[listen] callers: missing");
+    check(&["check", "--settings", "absent.ini"], 1, "absent.ini");
+    check(&["frobnicate"], 1, "frobnicate");
+}
--- a/crates/lab/src/local.rs
+++ b/crates/lab/src/local.rs
@@ -154,3 +154,21 @@
     }
     Ok(places)
 }
+
+/// The text of a settings file for node `index`, as a process reads it.
+pub fn settings_text(settings: &Settings) -> String {
+    let Settings { deployment, domain, callers, peers, operators, platform, .. } = settings;
+    let span = |d: Duration| base::unit::Span(d);
+    format!(
+        "[node]\ndeployment = {deployment}\nfailure_domain = {domain}\nthreads = {}\n\
+         [listen]\ncallers = {callers}\npeers = {peers}\noperators = {operators}\n\
+         [platform]\naddress = {platform}\n\
+         [addresses]\nvalidity = {}\nid_validity = {}\n\
+         [stop]\nlimit = {}\n[log]\nlevel = {}\n",
+        settings.threads,
+        span(settings.address_validity),
+        span(settings.id_validity),
+        span(settings.stop_limit),
+        settings.log_level,
+    )
+}
--- a/crates/policy/tests/adoption.rs
+++ b/crates/policy/tests/adoption.rs
@@ -1,9 +1,10 @@
 //! Which configuration is in force.
 
+mod common;
+
 use base::{id, unit::Generation};
 use config::{deployment::Deployment, questionnaire};
 use policy::adoption::{Holder, Verdict};
-use quickcheck::quickcheck;
 
 const QUESTIONNAIRE: &str = include_str!("../../../examples/deployments/beltran.ini");
 
@@ -39,7 +40,7 @@
     check(&published(4).to_bytes(), |v| *v == Verdict::Adopted, 4);
 }
 
-quickcheck! {
+seeded! {
     /// Whatever the order, all nodes settle on the same value and none goes back.
     fn every_order_of_offers_settles_on_the_same_value(offers: Vec<(u8, bool)>) -> bool {
         let text = |(generation, twin): &(u8, bool)| {
--- a/crates/policy/tests/group.rs
+++ b/crates/policy/tests/group.rs
@@ -1,5 +1,7 @@
 //! Scheduler of a group: limits, order, hedges, retries.
 
+mod common;
+
 use std::time::{Duration, Instant};
 
 use base::{id, unit::Version};
@@ -8,7 +10,6 @@
     outcome::{Fate, Reason},
     replica::{Replica, Window},
 };
-use quickcheck::quickcheck;
 use rand_chacha::{ChaCha8Rng, rand_core::SeedableRng};
 
 const SLOTS: u32 = 3;
@@ -243,7 +244,7 @@
     assert_eq!(bench.ended[0].1, End::Failed { reason: Reason::Version, fate: Fate::NotRun });
 }
 
-quickcheck! {
+seeded! {
     /// Places are given back whatever happens: after all replies, nothing is in flight.
     fn no_place_leaks(steps: Vec<(u8, u8)>) -> bool {
         let replies = [Reply::Done, Reply::Failed, Reply::Shed, Reply::Draining, Reply::Unreached,
--- a/crates/policy/tests/home.rs
+++ b/crates/policy/tests/home.rs
@@ -1,11 +1,12 @@
 //! At most once: what a node decides on an id.
 
+mod common;
+
 use base::id;
 use policy::{
     home::{Home, Id, MEMORY_LIMIT, Memory, SKEW_MS, Verdict},
     outcome::Reason,
 };
-use quickcheck::quickcheck;
 
 const NOW: u64 = 1_000_000;
 const VALIDITY: u64 = 10_000;
@@ -90,7 +91,7 @@
     }
 }
 
-quickcheck! {
+seeded! {
     fn no_sequence_of_arrivals_lets_an_id_run_twice(arrivals: Vec<(u8, u8, bool)>) -> bool {
         let mut memory = memory();
         let mut now = NOW;
--- a/crates/policy/tests/outcome.rs
+++ b/crates/policy/tests/outcome.rs
@@ -1,5 +1,7 @@
 //! Algebra of outcomes and exactness of coverage.
 
+mod common;
+
 use base::{
     id,
     keyspace::{self, Range, Set},
@@ -10,7 +12,7 @@
     coverage::{self, Part},
     outcome::{Fate, Outcome, Reason},
 };
-use quickcheck::{Arbitrary, Gen, quickcheck};
+use quickcheck::{Arbitrary, Gen};
 
 #[derive(Debug, Clone, Copy)]
 struct AnyFate(Fate);
@@ -21,7 +23,7 @@
     }
 }
 
-quickcheck! {
+seeded! {
     fn not_run_is_told_only_if_no_attempt_may_have_run(attempts: Vec<AnyFate>) -> bool {
         let fates: Vec<Fate> = attempts.iter().map(|a| a.0).collect();
         let told = Outcome::unanswered(Fate::over(&fates));
--- a/crates/standin/src/history.rs
+++ b/crates/standin/src/history.rs
@@ -1,4 +1,4 @@
-//! What upstreams and callers saw, for checks that do not rely on the product's own word.
+//! What upstreams saw, for checks that do not rely on the product's own word.
 
 use std::sync::Arc;
 
@@ -46,10 +46,30 @@
     },
 }
 
+/// Numbers of events.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Sub-requests that arrived.
+    pub arrived: u64,
+    /// Those of them that exceeded the server's slots.
+    pub queued: u64,
+    /// Sub-requests that ran.
+    pub ran: u64,
+    /// Crashes.
+    pub crashed: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    events: Vec<Event>,
+    counts: Counts,
+    counts_only: bool,
+}
+
 /// Events in the order in which they happened.
 #[derive(Debug, Clone, Default)]
 pub struct Log {
-    events: Arc<Mutex<Vec<Event>>>,
+    state: Arc<Mutex<State>>,
 }
 
 impl Log {
@@ -58,13 +78,34 @@
         Log::default()
     }
 
+    /// From now on only counts events.
+    pub fn count_only(&self) {
+        self.state.lock().counts_only = true;
+    }
+
     /// Adds an event.
     pub fn record(&self, event: Event) {
-        self.events.lock().push(event);
+        let mut state = self.state.lock();
+        match &event {
+            Event::Arrived { queued, .. } => {
+                state.counts.arrived += 1;
+                state.counts.queued += u64::from(*queued);
+            }
+            Event::Ran { .. } => state.counts.ran += 1,
+            Event::Crashed { .. } => state.counts.crashed += 1,
+        }
+        if !state.counts_only {
+            state.events.push(event);
+        }
     }
 
     /// All events so far.
     pub fn events(&self) -> Vec<Event> {
-        self.events.lock().clone()
+        self.state.lock().events.clone()
+    }
+
+    /// Numbers of events so far.
+    pub fn counts(&self) -> Counts {
+        self.state.lock().counts
     }
 }
