Hedge within 3%, outliers, even share under a first class, early refusal

Hedges that found no free replica or a queue were dropped for good; lower ranks filled all slots before a first class arrived; roots did not see partial answers as overload; lower ranks waited out deadlines that could not be met. Change: hedge at p97, considered again after 2 ms; a replica three times slower than the fastest gets only probes; lower ranks keep to slots/schedulers while the first rank is about; pressure from clipped means instead of a 2000-request median; refusal at submit when the wait exceeds the deadline; the root's limit shrinks once per 100 ms from what is in flight.

--- a/crates/config/tests/settings.rs
+++ b/crates/config/tests/settings.rs
@@ -22,7 +22,7 @@
         let line = format!("{section}\n{key} = {}\n", help.default);
         match full.find(section) {
             Some(at) => {
-                full.insert_str(at + section.len() + 1, &format!("{key} = {}\n", help.default))
+                full.insert_str(at + section.len() + 1, &format!("{key} = {}\n", help.default));
             }
             None => full.push_str(&line),
         }
--- a/crates/lab/src/bound.rs
+++ b/crates/lab/src/bound.rs
@@ -126,10 +126,10 @@
             (Some(t), None) | (None, Some(t)) => t,
             (None, None) => return done,
         };
-        if arrival == Some(now) {
-            if let Some(Reverse(request)) = arrivals.pop() {
-                group.waiting.push_back(request);
-            }
+        if arrival == Some(now)
+            && let Some(Reverse(request)) = arrivals.pop()
+        {
+            group.waiting.push_back(request);
         }
         group.running.retain(|r| {
             let over = r.ends.iter().any(|e| *e <= now);
--- a/crates/node/src/leaf.rs
+++ b/crates/node/src/leaf.rs
@@ -171,8 +171,16 @@
             return Some(slot.clone());
         }
         let serial = self.serial.fetch_add(1, Ordering::Relaxed);
-        let connections = self.connections(service);
-        let slot = Arc::new(Slot::new(self.context.clone(), service, group, serial, connections));
+        let schedulers = self.schedulers();
+        let connections = (service.connections as usize / (schedulers * REPLACEMENT)).max(1);
+        let slot = Arc::new(Slot::new(
+            self.context.clone(),
+            service,
+            group,
+            serial,
+            schedulers,
+            connections,
+        ));
         tokio::spawn(slot.clone().drive(self.cancel.clone()));
         self.slots.rcu(|old| {
             let mut new = FastMap::clone(old);
@@ -182,15 +190,12 @@
         Some(slot)
     }
 
-    /// Connections that this node may hold to one server of `service`.
-    fn connections(&self, service: &Service) -> usize {
-        let value = self.context.config();
-        let schedulers = match self.context.settings.routing {
-            // A group has one leaf in each failure domain, and one more while it moves.
-            Routing::Cells => value.map_or(1, |v| v.deployment.domains.len()),
+    /// Nodes that share the upstreams of a group, this one included.
+    fn schedulers(&self) -> usize {
+        match self.context.settings.routing {
+            Routing::Cells => self.context.config().map_or(1, |v| v.deployment.domains.len()),
             Routing::Direct => self.context.view().len() + 1,
-        };
-        (service.connections as usize / (schedulers * REPLACEMENT)).max(1)
+        }
     }
 }
 
--- a/crates/node/src/root.rs
+++ b/crates/node/src/root.rs
@@ -187,7 +187,9 @@
             deadline: deadline.checked_sub(HOP_MARGIN).unwrap_or(deadline),
         };
         let answer = self.run(plan, class.coverage).await;
-        admitted.settle(answer.reason);
+        // A partial answer that lacks groups for load is as much a sign of overload.
+        let lacks = answer.reason.or_else(|| answer.missing.first().map(|g| g.reason));
+        admitted.settle(lacks);
         Ok(self.count(answer))
     }
 
@@ -572,7 +574,7 @@
 impl Admitted<'_> {
     fn settle(mut self, reason: Option<Reason>) {
         if let Some(pass) = self.pass.take() {
-            self.root.gate.lock().leave(pass, reason);
+            self.root.gate.lock().leave(self.root.context.now(), pass, reason);
         }
     }
 }
@@ -580,7 +582,7 @@
 impl Drop for Admitted<'_> {
     fn drop(&mut self) {
         if let Some(pass) = self.pass.take() {
-            self.root.gate.lock().leave(pass, None);
+            self.root.gate.lock().leave(self.root.context.now(), pass, None);
         }
     }
 }
--- a/crates/node/src/slot.rs
+++ b/crates/node/src/slot.rs
@@ -64,13 +64,14 @@
         service: &Service,
         index: id::Group,
         serial: u64,
+        schedulers: usize,
         connections: usize,
     ) -> Slot {
         let published = &service.groups[usize::from(index.0)];
         let slots = service.slots.min(u32::try_from(connections).unwrap_or(u32::MAX));
         let replicas =
             published.servers.iter().map(|s| Replica::new(s.upstream, slots, s.leaving)).collect();
-        let group = Group::new(replicas, slots, serial << ATTEMPT_STRIDE_BITS)
+        let group = Group::new(replicas, slots, schedulers as u32, serial << ATTEMPT_STRIDE_BITS)
             .with_options(context.options);
         let state = State {
             group,
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -1,10 +1,14 @@
 //! Admission of requests at a root.
 
+use std::time::{Duration, Instant};
+
 use crate::{limit::Adaptive, outcome::Reason};
 
 /// Share of all places that classes which do not go first may hold.
 const LOWER_SHARE: f64 = 0.8;
 const LOWER_FLOOR: u32 = 2;
+/// Time for a smaller limit to show in answers.
+const SHRINK_PERIOD: Duration = Duration::from_millis(100);
 
 /// A place held by an admitted request.
 #[derive(Debug)]
@@ -19,13 +23,15 @@
     inside: usize,
     lower: usize,
     lower_limit: Adaptive,
+    shrunk: Option<Instant>,
 }
 
 impl Gate {
     /// Gate for `limit` requests at a time.
     pub fn new(limit: usize) -> Gate {
         let ceiling = (limit as f64 * LOWER_SHARE) as u32;
-        Gate { limit, inside: 0, lower: 0, lower_limit: Adaptive::new(LOWER_FLOOR, ceiling.max(1)) }
+        let lower_limit = Adaptive::new(LOWER_FLOOR, ceiling.max(1));
+        Gate { limit, inside: 0, lower: 0, lower_limit, shrunk: None }
     }
 
     /// Requests inside.
@@ -48,19 +54,25 @@
         Some(Pass { rank })
     }
 
-    /// Gives a place back; `reason` is why the request was not answered, if it was not.
-    pub fn leave(&mut self, pass: Pass, reason: Option<Reason>) {
+    /// Gives a place back; `reason` is why the answer lacks something, if it does.
+    pub fn leave(&mut self, now: Instant, pass: Pass, reason: Option<Reason>) {
+        let Pass { rank } = pass;
         self.inside -= 1;
-        if pass.rank == 0 {
+        if rank == 0 {
             return;
         }
         match reason {
-            Some(Reason::Overload | Reason::Deadline | Reason::Coverage) => {
-                self.lower_limit.shrink();
-            }
+            Some(Reason::Overload | Reason::Deadline | Reason::Coverage) => self.shrink(now),
             Some(_) => {}
             None => self.lower_limit.grow(self.lower),
         }
         self.lower -= 1;
     }
+
+    fn shrink(&mut self, now: Instant) {
+        if self.shrunk.is_none_or(|at| at + SHRINK_PERIOD <= now) {
+            self.shrunk = Some(now);
+            self.lower_limit.shrink_to(self.lower);
+        }
+    }
 }
--- a/crates/policy/src/group.rs
+++ b/crates/policy/src/group.rs
@@ -15,7 +15,7 @@
 use crate::{
     budget::Budget,
     latency::Quantile,
-    limit::Adaptive,
+    limit::{Adaptive, Pressure},
     outcome::{Fate, Reason},
     replica::{Replica, Window},
 };
@@ -27,17 +27,22 @@
 /// Attempts of one job, hedges included.
 const ATTEMPT_LIMIT: u32 = 6;
 /// Quantile of the group's latency after which a hedge is sent.
-const HEDGE_QUANTILE: f64 = 0.98;
+const HEDGE_QUANTILE: f64 = 0.97;
 /// Hedges allowed per job; the target is 3% extra load at most.
 const HEDGE_SHARE: f64 = 0.03;
-const HEDGE_SAVED: f64 = 5.0;
+const HEDGE_SAVED: f64 = 20.0;
+/// Multiple of the fastest replica's mean latency from which a replica gets only probes.
+const OUTLIER: f64 = 3.0;
+const OUTLIER_PROBE: Duration = Duration::from_secs(1);
+/// Pause before a hedge that could not be sent is considered again.
+const HEDGE_RECHECK: Duration = Duration::from_millis(2);
 /// Retries allowed per job; the target is 10% extra load at most after an outage.
 const RETRY_SHARE: f64 = 0.1;
 const RETRY_SAVED: f64 = 10.0;
 /// Time to learn of further losses before a job whose upstream was lost is sent again.
 const LOSS_CONFIRM: Duration = Duration::from_millis(10);
-/// Latency over the long-run median at which waiting inside the upstreams is assumed.
-const INFLATION: f64 = 2.0;
+/// Time after a job of the first rank for which lower ranks keep to an even share of slots.
+const FIRST_PRESENT: Duration = Duration::from_secs(1);
 
 /// Names a job within its group.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -211,21 +216,25 @@
     next: u64,
     attempt_base: u64,
     hedge_delay: Quantile,
-    median: Quantile,
-    baseline: Option<Duration>,
     hedges: Budget,
     retries: Budget,
+    /// This node's even share of the group's slots.
+    share: usize,
+    /// When a job of the first rank was last submitted.
+    first_seen: Option<Instant>,
     lower_limit: Adaptive,
+    pressure: Pressure,
     lower_in_flight: usize,
     counts: Counts,
     options: Options,
 }
 
 impl Group {
-    /// Scheduler over `replicas` of `slots` slots each. Attempts are numbered from
-    /// `attempt_base` on; different groups of a node need disjoint numbers.
-    pub fn new(replicas: Vec<Replica>, slots: u32, attempt_base: u64) -> Group {
+    /// Scheduler over `replicas` of `slots` slots each, which `schedulers` nodes share without
+    /// talking to each other. Attempts are numbered from `attempt_base` on; different groups of a node need disjoint numbers.
+    pub fn new(replicas: Vec<Replica>, slots: u32, schedulers: u32, attempt_base: u64) -> Group {
         let all_slots = slots * replicas.len() as u32;
+        let share = (all_slots / schedulers.max(1)).max(1);
         Group {
             replicas,
             jobs: FastMap::default(),
@@ -235,11 +244,12 @@
             next: 0,
             attempt_base,
             hedge_delay: Quantile::new(HEDGE_QUANTILE),
-            median: Quantile::new(0.5),
-            baseline: None,
             hedges: Budget::new(HEDGE_SHARE, HEDGE_SAVED),
             retries: Budget::new(RETRY_SHARE, RETRY_SAVED),
-            lower_limit: Adaptive::new(1, all_slots),
+            share: share as usize,
+            first_seen: None,
+            lower_limit: Adaptive::new(share, all_slots),
+            pressure: Pressure::new(),
             lower_in_flight: 0,
             counts: Counts::default(),
             options: Options::default(),
@@ -321,6 +331,9 @@
         self.hedges.earn();
         self.retries.earn();
         let rank = usize::from(job.rank).min(RANKS - 1);
+        if rank == 0 {
+            self.first_seen = Some(now);
+        }
         self.timers.insert((job.deadline, ticket));
         let state = State {
             job,
@@ -332,8 +345,13 @@
             queued: true,
             not_before: None,
         };
+        let hopeless = self.is_hopeless(now, &state.job);
         self.jobs.insert(ticket, state);
         self.queues[rank].push_back(ticket);
+        if hopeless {
+            self.end(ticket, Reason::Overload, actions);
+            return ticket;
+        }
         if self.queued() > QUEUE_LIMIT {
             self.evict(actions);
         }
@@ -385,6 +403,24 @@
         self.next_wake(now)
     }
 
+    /// Attempts of lower ranks that may be in flight. While first-rank jobs are about, all
+    /// nodes together must not fill the upstreams' slots, or those jobs wait inside upstreams.
+    fn lower_allowed(&self, now: Instant) -> usize {
+        let present = self.first_seen.is_some_and(|at| at + FIRST_PRESENT > now);
+        let limit = self.lower_limit.value();
+        if present { limit.min(self.share) } else { limit }
+    }
+
+    /// Whether a job of a lower rank would wait past its deadline: said at once, not then.
+    fn is_hopeless(&self, now: Instant, job: &Job) -> bool {
+        if job.rank == 0 || self.queued() == 0 {
+            return false;
+        }
+        let turns = self.queued() as f64 / self.lower_allowed(now).max(1) as f64;
+        let wait = self.pressure.mean().mul_f64(turns + 1.0);
+        now + wait >= job.deadline
+    }
+
     fn next_wake(&self, now: Instant) -> Option<Instant> {
         let timer = self.timers.first().map(|(at, _)| *at);
         if self.queued() == 0 {
@@ -541,7 +577,7 @@
         }
         if state.job.rank > 0
             && self.options.adaptive
-            && self.lower_in_flight >= self.lower_limit.value()
+            && self.lower_in_flight >= self.lower_allowed(now)
         {
             return Step::Wait;
         }
@@ -563,8 +599,15 @@
     }
 
     fn cheapest(&self, now: Instant, candidates: &[usize], rng: &mut dyn RngCore) -> Option<usize> {
-        let free: Vec<usize> =
-            candidates.iter().copied().filter(|i| self.replicas[*i].is_free(now)).collect();
+        let fastest = candidates.iter().map(|i| self.replicas[*i].mean()).min()?;
+        // A slow replica is tried now and then, to see whether it has recovered.
+        let worth = |i: &usize| {
+            let replica = &self.replicas[*i];
+            let due = replica.last_sent().is_none_or(|t| t + OUTLIER_PROBE <= now);
+            replica.mean() <= fastest.mul_f64(OUTLIER) || due
+        };
+        let usable = |i: &usize| self.replicas[*i].is_free(now) && worth(i);
+        let free: Vec<usize> = candidates.iter().copied().filter(usable).collect();
         if free.is_empty() {
             return None;
         }
@@ -590,7 +633,7 @@
         if state.job.rank > 0 {
             self.lower_in_flight += 1;
         }
-        self.replicas[replica].sent();
+        self.replicas[replica].sent(now);
         self.sent.insert(attempt, Sent { ticket, replica, at: now, hedge });
         if let (true, true, Some(delay)) =
             (self.options.hedge, state.job.idempotent, self.hedge_delay.value())
@@ -611,8 +654,15 @@
         let Some(state) = self.jobs.get(&ticket) else { return };
         let running = !state.in_flight.is_empty();
         let suspect = (env.suspect)(state.job.fingerprint);
-        let overloaded = self.queues.iter().any(|q| !q.is_empty());
-        if !running || suspect || overloaded || state.attempts >= ATTEMPT_LIMIT {
+        // Jobs of lower ranks that wait are no reason to leave this one without a hedge.
+        let rank = usize::from(state.job.rank).min(RANKS - 1);
+        let ahead: usize = self.queues[..=rank].iter().map(VecDeque::len).sum();
+        let overloaded = ahead > self.replicas.len();
+        if !running || suspect || state.attempts >= ATTEMPT_LIMIT {
+            return;
+        }
+        if overloaded {
+            self.timers.insert((now + HEDGE_RECHECK, ticket));
             return;
         }
         let holds = |i: &usize| {
@@ -624,10 +674,14 @@
                 && !state.tried.contains(i)
         };
         let candidates: Vec<usize> = (0..self.replicas.len()).filter(holds).collect();
-        let Some(replica) = self.cheapest(now, &candidates, env.rng) else { return };
-        if !self.hedges.spend() {
+        if candidates.is_empty() {
             return;
         }
+        let replica = self.cheapest(now, &candidates, env.rng);
+        let Some(replica) = replica.filter(|_| self.hedges.spend()) else {
+            self.timers.insert((now + HEDGE_RECHECK, ticket));
+            return;
+        };
         self.counts.hedges += 1;
         self.send(now, ticket, replica, true, actions);
     }
@@ -643,7 +697,7 @@
                 if !sent.hedge {
                     self.hedge_delay.record(latency);
                 }
-                self.adapt(latency);
+                self.adapt(now, latency);
             }
             Reply::Shed => {
                 self.counts.sheds += 1;
@@ -661,12 +715,8 @@
         }
     }
 
-    fn adapt(&mut self, latency: Duration) {
-        self.median.record(latency);
-        let Some(median) = self.median.value() else { return };
-        let baseline = self.baseline.map_or(median, |b| b.min(median));
-        self.baseline = Some(baseline);
-        if median > baseline.mul_f64(INFLATION) {
+    fn adapt(&mut self, now: Instant, latency: Duration) {
+        if self.pressure.observe(now, latency) {
             self.lower_limit.shrink();
         } else {
             self.lower_limit.grow(self.lower_in_flight + 1);
--- a/crates/policy/src/replica.rs
+++ b/crates/policy/src/replica.rs
@@ -40,6 +40,7 @@
     limit: Adaptive,
     in_flight: usize,
     mean: Duration,
+    last_sent: Option<Instant>,
     blocked_until: Option<Instant>,
     failures: u32,
     incarnation: Option<id::Incarnation>,
@@ -57,6 +58,7 @@
             limit: Adaptive::new(1, slots),
             in_flight: 0,
             mean: INITIAL,
+            last_sent: None,
             blocked_until: None,
             failures: 0,
             incarnation: None,
@@ -101,9 +103,20 @@
         self.mean.as_secs_f64() * (1.0 + self.in_flight as f64)
     }
 
+    /// Running mean of latency.
+    pub fn mean(&self) -> Duration {
+        self.mean
+    }
+
+    /// When it was last sent a request.
+    pub fn last_sent(&self) -> Option<Instant> {
+        self.last_sent
+    }
+
     /// Records a request sent.
-    pub fn sent(&mut self) {
+    pub fn sent(&mut self, now: Instant) {
         self.in_flight += 1;
+        self.last_sent = Some(now);
     }
 
     /// Records a reply after `latency`.
--- a/crates/policy/tests/group.rs
+++ b/crates/policy/tests/group.rs
@@ -32,7 +32,7 @@
     fn new() -> Bench {
         let replicas = (0..3).map(|i| Replica::new(upstream(i), SLOTS, false)).collect();
         Bench {
-            group: Group::new(replicas, SLOTS, 0),
+            group: Group::new(replicas, SLOTS, 3, 0),
             rng: ChaCha8Rng::seed_from_u64(1),
             now: Instant::now(),
             suspect: None,
@@ -59,7 +59,7 @@
         for action in actions {
             match action {
                 Action::Send { ticket, attempt, upstream } => {
-                    self.sent.push((ticket, attempt, upstream))
+                    self.sent.push((ticket, attempt, upstream));
                 }
                 Action::Cancel { attempt } => self.cancelled.push(attempt),
                 Action::Finish { ticket, end } => self.ended.push((ticket, end)),
@@ -180,8 +180,10 @@
 #[test]
 fn a_full_queue_refuses_the_lowest_rank() {
     let mut bench = Bench::new();
+    // Late enough that waiting behind a full queue is no reason to refuse.
+    let deadline = bench.now + Duration::from_secs(3_600);
     for _ in 0..QUEUE_LIMIT + 9 {
-        let job = Job { rank: 1, ..bench.job() };
+        let job = Job { rank: 1, deadline, ..bench.job() };
         bench.submit(job);
     }
     assert!(bench.ended.is_empty());
@@ -192,6 +194,30 @@
     assert!(bench.ended[0].0 != first && bench.ended[0].1 == refused);
 }
 
+#[test]
+fn a_job_that_would_wait_past_its_deadline_is_refused_at_once() {
+    let mut bench = Bench::new();
+    for _ in 0..100 {
+        let job = Job { rank: 1, ..bench.job() };
+        bench.submit(job);
+    }
+    let refused = End::Failed { reason: Reason::Overload, fate: Fate::NotRun };
+    assert!(!bench.ended.is_empty() && bench.ended.iter().all(|(_, end)| *end == refused));
+}
+
+#[test]
+fn lower_ranks_keep_to_an_even_share_while_the_first_is_about() {
+    let mut bench = Bench::new();
+    let job = bench.job();
+    bench.submit(job);
+    for _ in 0..20 {
+        let job = Job { rank: 1, ..bench.job() };
+        bench.submit(job);
+    }
+    // One of the first rank, and a third of the nine slots.
+    assert_eq!(bench.sent.len(), 1 + 3);
+}
+
 #[test]
 fn suspects_are_not_sent() {
     let mut bench = Bench::new();
@@ -208,7 +234,7 @@
     let mut bench = Bench::new();
     let one = upstream(0);
     let leaving = |bench: &mut Bench, f: &dyn Fn(&mut Replica)| {
-        f(bench.group.replica_mut(one).expect("known"))
+        f(bench.group.replica_mut(one).expect("known"));
     };
     leaving(&mut bench, &|r| {
         r.incarnated(id::Incarnation(1));
