--- a/crates/config/src/deployment.rs
+++ b/crates/config/src/deployment.rs
@@ -245,7 +245,7 @@
 
     /// The published form. The same deployment gives the same bytes.
     pub fn to_bytes(&self) -> Vec<u8> {
-        let mut bytes = serde_json::to_vec_pretty(self).unwrap_or_default();
+        let mut bytes = serde_json::to_vec(self).unwrap_or_default();
         bytes.push(b'\n');
         bytes
     }
--- a/crates/lab/examples/scale.rs
+++ b/crates/lab/examples/scale.rs
@@ -10,7 +10,7 @@
 use standin::service_time::Shape;
 
 const SIZES: [usize; 5] = [18, 51, 102, 201, 402];
-const SETTLE: Duration = Duration::from_secs(60);
+const SETTLE: Duration = Duration::from_secs(300);
 const SPAN: Duration = Duration::from_secs(60);
 const LIMIT: Duration = Duration::from_secs(30);
 const GROUPS: usize = 25;
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::Instant,
 };
@@ -74,6 +74,8 @@
     pub(crate) fleet: Mutex<Fleet>,
     /// Members, refreshed from `fleet` after each change.
     view: ArcSwap<Vec<Record>>,
+    /// Version of the records that `view` was made from.
+    view_version: AtomicU64,
     pub(crate) book: Mutex<Book>,
     pub(crate) departures: Mutex<departure::Book>,
     /// Whether `book` holds anything, so that most requests need not look.
@@ -108,6 +110,7 @@
             configs: ArcSwap::default(),
             fleet: Mutex::new(Fleet::new(own)),
             view: ArcSwap::default(),
+            view_version: AtomicU64::new(0),
             book: Mutex::new(Book::new()),
             departures: Mutex::default(),
             suspicion: AtomicBool::new(false),
@@ -169,12 +172,14 @@
         self.view.load_full()
     }
 
+    /// Called with the lock on `fleet` held, so that views are stored in order.
     pub(crate) fn refresh_view(&self, fleet: &Fleet) {
+        if self.view_version.swap(fleet.version(), Ordering::AcqRel) == fleet.version() {
+            return;
+        }
         let mut records: Vec<Record> = fleet.records().cloned().collect();
         records.sort_unstable_by_key(|r| r.node);
-        if **self.view.load() != records {
-            self.view.store(Arc::new(records));
-        }
+        self.view.store(Arc::new(records));
     }
 
     /// What heartbeats carry beside membership.
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -6,6 +6,8 @@
 //! does so to refute a suspicion.
 
 use std::{
+    cell::Cell,
+    collections::BTreeSet,
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -166,6 +168,13 @@
     pauses: u64,
     ever_met: bool,
     divergences: u32,
+    /// Members that are not alive, so that a tick need not look at all.
+    doubtful: BTreeSet<id::Node>,
+    /// Members whose records are still to be passed on.
+    spreading: BTreeSet<id::Node>,
+    /// Raised with each change of a record.
+    version: u64,
+    digest: Cell<Option<u64>>,
 }
 
 impl Fleet {
@@ -184,6 +193,10 @@
             pauses: 0,
             ever_met: false,
             divergences: 0,
+            doubtful: BTreeSet::new(),
+            spreading: BTreeSet::new(),
+            version: 0,
+            digest: Cell::new(None),
         }
     }
 
@@ -197,6 +210,11 @@
         self.members.values().map(|m| &m.record)
     }
 
+    /// Version of the records: equal if nothing has changed in between.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
     /// Whether the node has woken from a pause and not yet heard from another since.
     pub fn is_distrusted(&self) -> bool {
         self.distrusted
@@ -228,6 +246,7 @@
     pub fn leave(&mut self, extras: &Extras, rng: &mut dyn RngCore) -> Vec<Out> {
         self.own.leaving = true;
         self.own.counter += 1;
+        self.changed();
         self.spread_news(extras, rng)
     }
 
@@ -287,6 +306,9 @@
 
     /// Digest of all records, the own one included.
     pub fn digest(&self) -> u64 {
+        if let Some(digest) = self.digest.get() {
+            return digest;
+        }
         let of = |r: &Record| {
             let Record { node, incarnation, counter, status, leaving, .. } = r;
             let text = format!("{node} {incarnation} {counter} {status:?} {leaving}");
@@ -294,7 +316,27 @@
         };
         // The sum does not depend on the order, which differs between nodes.
         let live = self.records().filter(|r| r.status != Status::Dead);
-        live.map(of).fold(of(&self.own), u64::wrapping_add)
+        let digest = live.map(of).fold(of(&self.own), u64::wrapping_add);
+        self.digest.set(Some(digest));
+        digest
+    }
+
+    /// To be called with each change of a record.
+    fn changed(&mut self) {
+        self.version += 1;
+        self.digest.set(None);
+    }
+
+    /// To be called with each change of the record of `node`.
+    fn member_changed(&mut self, node: id::Node) {
+        self.changed();
+        self.spreading.insert(node);
+        let status = self.members.get(&node).map(|m| m.record.status);
+        if status.is_some_and(|s| s != Status::Alive) {
+            self.doubtful.insert(node);
+        } else {
+            self.doubtful.remove(&node);
+        }
     }
 
     fn compare(&mut self, digest: u64) {
@@ -348,22 +390,37 @@
         member.record.status = Status::Suspect;
         member.changed = now;
         member.spread = spread;
+        self.member_changed(target);
     }
 
     fn bury(&mut self, now: Instant) {
-        let spread = self.retransmissions();
-        for member in self.members.values_mut() {
+        let doubtful: Vec<id::Node> = self.doubtful.iter().copied().collect();
+        for node in doubtful {
+            let Some(member) = self.members.get(&node) else { continue };
             let age = now.saturating_duration_since(member.changed);
-            if member.record.status == Status::Suspect && age >= SUSPICION {
-                member.record.status = Status::Dead;
-                member.changed = now;
-                member.spread = spread;
+            match member.record.status {
+                Status::Suspect if age >= SUSPICION => self.declare_dead(now, node),
+                Status::Dead if age >= RETENTION => self.forget(node),
+                _ => {}
             }
         }
-        self.members.retain(|_, m| {
-            let age = now.saturating_duration_since(m.changed);
-            m.record.status != Status::Dead || age < RETENTION
-        });
+    }
+
+    fn declare_dead(&mut self, now: Instant, node: id::Node) {
+        let spread = self.retransmissions();
+        if let Some(member) = self.members.get_mut(&node) {
+            member.record.status = Status::Dead;
+            member.changed = now;
+            member.spread = spread;
+        }
+        self.member_changed(node);
+    }
+
+    fn forget(&mut self, node: id::Node) {
+        self.members.remove(&node);
+        self.doubtful.remove(&node);
+        self.spreading.remove(&node);
+        self.changed();
     }
 
     fn start_probe(
@@ -421,18 +478,19 @@
         }
         let spread = self.retransmissions();
         match self.members.get_mut(&record.node) {
-            Some(member) if record.rank() <= member.record.rank() => {}
+            Some(member) if record.rank() <= member.record.rank() => return,
             Some(member) => {
                 member.record = record.clone();
                 member.changed = now;
                 member.spread = spread;
             }
-            None if record.status == Status::Dead => {}
+            None if record.status == Status::Dead => return,
             None => {
                 let member = Member { record: record.clone(), changed: now, spread };
                 self.members.insert(record.node, member);
             }
         }
+        self.member_changed(record.node);
     }
 
     fn refute(&mut self, record: &Record) {
@@ -440,6 +498,7 @@
         let doubted = record.status != Status::Alive || record.leaving != self.own.leaving;
         if same && doubted && record.counter >= self.own.counter {
             self.own.counter = record.counter + 1;
+            self.changed();
         }
     }
 
@@ -465,13 +524,8 @@
         // A suspected receiver must learn of the suspicion, or it cannot refute it.
         let about = self.members.get(&to).filter(|m| m.record.status != Status::Alive);
         let mut records: Vec<Record> = about.map(|m| m.record.clone()).into_iter().collect();
-        let mut fresh: Vec<&mut Member> =
-            self.members.values_mut().filter(|m| m.spread > 0 && m.record.node != to).collect();
-        fresh.sort_unstable_by_key(|m| (std::cmp::Reverse(m.spread), m.record.node));
-        for member in fresh.into_iter().take(RECORDS - records.len()) {
-            member.spread -= 1;
-            records.push(member.record.clone());
-        }
+        let fresh = self.freshest(to, RECORDS - records.len());
+        records.extend(fresh);
         let notices = extras.notices.iter().copied().take(NOTICES).collect();
         let departures = extras.departures.iter().copied().take(DEPARTURES).collect();
         let digest = self.digest();
@@ -489,4 +543,22 @@
             },
         }
     }
+
+    /// Takes up to `count` records to pass on, those passed on least first.
+    fn freshest(&mut self, to: id::Node, count: usize) -> Vec<Record> {
+        let spread = |n: &id::Node| self.members.get(n).map_or(0, |m| m.spread);
+        let mut fresh: Vec<(u32, id::Node)> =
+            self.spreading.iter().filter(|n| **n != to).map(|n| (spread(n), *n)).collect();
+        fresh.sort_unstable_by_key(|(spread, node)| (std::cmp::Reverse(*spread), *node));
+        let mut records = Vec::new();
+        for (_, node) in fresh.into_iter().take(count) {
+            let Some(member) = self.members.get_mut(&node) else { continue };
+            member.spread = member.spread.saturating_sub(1);
+            records.push(member.record.clone());
+            if member.spread == 0 {
+                self.spreading.remove(&node);
+            }
+        }
+        records
+    }
 }
