A starting node joins only with a current configuration; known requests need more evidence

Cause: rolling replacement of 18 processes with a stale service showed 1 node at generation 1: a starting node took the service's old value and served by it until a heartbeat told it better. Once it joined later, views changed and a crash test quarantined 59 of 600 innocent searches that lost two upstreams beside a crashing one at one leaf. Change: a node is named to callers and used as a leaf only after it is as new as a serving node it heard from (or 2 s alone); a fingerprint that completed lately needs six losses; services are shared by plans instead of copied, and rendezvous weights hash bytes instead of text.

--- a/crates/balsamctl/src/status.rs
+++ b/crates/balsamctl/src/status.rs
@@ -40,10 +40,10 @@
 
 fn print(status: &Status) {
     let own = &status.own;
-    let leaving = if own.leaving { ", leaving" } else { "" };
+    let serving = if own.serving { "" } else { ", not serving" };
     let isolated = if status.isolated { ", sees no other node" } else { "" };
     println!(
-        "{} in {} of {}: configuration {}{leaving}{isolated}",
+        "{} in {} of {}: configuration {}{serving}{isolated}",
         own.node, own.domain, status.deployment, status.generation
     );
     if let Some(refused) = &status.refused {
@@ -54,8 +54,8 @@
         status.requests, status.lower_limit, status.ids
     );
     for member in &status.members {
-        let leaving = if member.leaving { ", leaving" } else { "" };
-        println!("  node {} in {}: {:?}{leaving}", member.node, member.domain, member.status);
+        let serving = if member.serving { "" } else { ", not serving" };
+        println!("  node {} in {}: {:?}{serving}", member.node, member.domain, member.status);
     }
     for notice in &status.quarantine {
         println!("  quarantine {:016x} for {} ms", notice.fingerprint, notice.remaining_ms);
--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -79,6 +79,9 @@
             let asked = self.call(*node, "GET", &path, Vec::new(), &headers);
             let Ok((StatusCode::OK, body)) = asked.await else { continue };
             let Ok(answer) = caller::parse::<Addresses>(&body) else { continue };
+            if answer.addresses.is_empty() {
+                continue;
+            }
             let until = Instant::now() + Duration::from_millis(answer.validity_ms);
             *self.kept.lock() = Some(Kept { answer: answer.clone(), until });
             return Ok(answer);
--- a/crates/lab/src/cluster.rs
+++ b/crates/lab/src/cluster.rs
@@ -155,7 +155,8 @@
     /// Waits until each running node is ready and sees all the others.
     pub async fn settle(&self) {
         let count = self.nodes().len();
-        let settled = |n: &Arc<Node>| n.is_ready() && n.context.view().len() + 1 >= count;
+        let serving = |n: &Arc<Node>| n.context.view().iter().filter(|r| r.serving).count();
+        let settled = |n: &Arc<Node>| n.is_ready() && serving(n) + 1 >= count;
         for _ in 0..SETTLE_POLLS {
             if self.nodes().iter().all(settled) {
                 return;
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -227,6 +227,11 @@
     while Instant::now() < end {
         let nodes = cluster.nodes();
         let told = nodes[(number + asked) % nodes.len()].addresses(&name);
+        if told.addresses.is_empty() {
+            // A node that has just started knows none yet; callers ask another.
+            asked += 1;
+            continue;
+        }
         let until = Instant::now() + Duration::from_millis(told.validity_ms);
         let address = told.addresses[0].address;
         while Instant::now() <= until {
@@ -358,3 +363,25 @@
         assert!((reads as f64) < 2.0 * budget, "{reads} reads in 10 s by {NODES} nodes");
     });
 }
+
+#[test]
+fn a_new_node_does_not_serve_an_older_configuration_than_its_peers() {
+    with_cluster(15, |cluster| async move {
+        let two = Generation(2);
+        cluster.farm.all().iter().for_each(|u| u.behave(|b| b.maps.push(two)));
+        cluster.publish(Generation(7), two, GROUPS);
+        assert!(cluster.until(IN_FORCE, |c| c.in_force(Generation(7))).await.is_some());
+        cluster.publish(Generation(1), Generation(1), GROUPS);
+        cluster.restart(3);
+        let mut complete = 0;
+        for step in 0..600 {
+            let call = cluster::search(FIRST, &format!("boot-{step}"));
+            let answer = cluster.search(&cluster.node(3), call).await.expect("answered");
+            let maps: Vec<_> = answer.snapshot.iter().map(|s| s.map).collect();
+            assert!(maps.is_empty() || maps == [two], "step {step}: {maps:?}");
+            complete += usize::from(answer.outcome == Outcome::Complete);
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        assert!(complete > 0, "the node never served");
+    });
+}
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -16,10 +16,10 @@
 use config::{deployment::Service, settings::Settings};
 use parking_lot::Mutex;
 use policy::{
-    adoption::{Holder, Value},
+    adoption::{Holder, Stamp, Value},
     departure, group,
     membership::{Extras, Fleet, Record},
-    quarantine::Book,
+    quarantine::{self, Book},
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -77,11 +77,15 @@
     /// Version of the records that `view` was made from.
     view_version: AtomicU64,
     pub(crate) book: Mutex<Book>,
+    pub(crate) known: quarantine::Known,
     pub(crate) departures: Mutex<departure::Book>,
     /// Whether `book` holds anything, so that most requests need not look.
     suspicion: AtomicBool,
     pub(crate) requests: AtomicUsize,
     stopping: AtomicBool,
+    joined: AtomicBool,
+    /// Highest configuration heard of from a serving node.
+    heard: Mutex<Option<Stamp>>,
     rng: Mutex<ChaCha8Rng>,
 }
 
@@ -100,7 +104,7 @@
             incarnation,
             counter: 0,
             status: policy::membership::Status::Alive,
-            leaving: false,
+            serving: false,
             domain: settings.domain.clone(),
             callers: settings.callers,
         };
@@ -112,10 +116,13 @@
             view: ArcSwap::default(),
             view_version: AtomicU64::new(0),
             book: Mutex::new(Book::new()),
+            known: quarantine::Known::new(),
             departures: Mutex::default(),
             suspicion: AtomicBool::new(false),
             requests: AtomicUsize::new(0),
             stopping: AtomicBool::new(false),
+            joined: AtomicBool::new(false),
+            heard: Mutex::default(),
             rng: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
             counters: Counters::new(),
             options: group::Options::default(),
@@ -153,10 +160,31 @@
         self.configs.load().first().cloned()
     }
 
+    /// The configuration in force, once the node has joined those that serve callers.
+    pub fn config_for_callers(&self) -> Option<Arc<Value>> {
+        self.config().filter(|_| self.joined.load(Ordering::Relaxed))
+    }
+
+    pub(crate) fn join(&self) {
+        self.joined.store(true, Ordering::Relaxed);
+    }
+
+    /// Records what a heartbeat says of its sender.
+    pub(crate) fn hear(&self, serving: bool, stamp: Stamp) {
+        if serving && !self.joined.load(Ordering::Relaxed) {
+            let mut heard = self.heard.lock();
+            *heard = (*heard).max(Some(stamp));
+        }
+    }
+
+    pub(crate) fn heard(&self) -> Option<Stamp> {
+        *self.heard.lock()
+    }
+
     /// The service as the newest kept configuration with its map of generation `map` has it.
-    pub fn service(&self, name: &id::Service, map: base::unit::Generation) -> Option<Service> {
+    pub fn service(&self, name: &id::Service, map: base::unit::Generation) -> Option<Arc<Service>> {
         let configs = self.configs.load();
-        let mut found = configs.iter().filter_map(|v| v.deployment.service(name));
+        let mut found = configs.iter().filter_map(|v| v.service(name));
         found.find(|s| s.map == map).cloned()
     }
 
@@ -189,7 +217,7 @@
         Extras { stamp: self.stamp(), notices, departures }
     }
 
-    pub(crate) fn stamp(&self) -> policy::adoption::Stamp {
+    pub(crate) fn stamp(&self) -> Stamp {
         self.configs.load().first().map(|v| v.stamp).unwrap_or_default()
     }
 
--- a/crates/node/src/fleet.rs
+++ b/crates/node/src/fleet.rs
@@ -1,6 +1,9 @@
 //! Drives membership: heartbeats, the platform's VM list, full lists from peers.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use base::id;
 use policy::{
@@ -20,6 +23,10 @@
 const LIST_PERIOD: Duration = Duration::from_secs(2);
 /// Time between two reads of the VM list by a node that is not a watcher.
 const IDLE_LIST_PERIOD: Duration = Duration::from_secs(60);
+/// Time between two looks at whether this node may join.
+const JOIN_POLL: Duration = Duration::from_millis(20);
+/// Time to hear from a serving node before this node takes it that there is none.
+const JOIN_ALONE: Duration = Duration::from_secs(2);
 /// Watchers of the platform in each failure domain.
 pub const WATCHERS: usize = 2;
 
@@ -43,6 +50,34 @@
     send(context, out);
 }
 
+/// Offers the node to callers once its configuration is known not to be an old one: as new as
+/// that of a serving node that it has heard from, or the best there is after a while alone.
+pub async fn join(context: Arc<Context>, cancel: CancellationToken) {
+    let begun = context.now();
+    while !(context.config().is_some() && is_current(&context, begun)) {
+        tokio::select! {
+            biased;
+            () = cancel.cancelled() => return,
+            () = tokio::time::sleep(JOIN_POLL) => {}
+        }
+    }
+    context.join();
+    let extras = context.extras();
+    let out = {
+        let mut rng = context.fork_rng();
+        context.fleet.lock().join(&extras, &mut rng)
+    };
+    log::info!("serving callers");
+    send(&context, out);
+}
+
+fn is_current(context: &Context, begun: Instant) -> bool {
+    match context.heard() {
+        Some(stamp) => context.stamp() >= stamp,
+        None => context.now() >= begun + JOIN_ALONE,
+    }
+}
+
 /// Sends heartbeats until `cancel`.
 pub async fn beat(context: Arc<Context>, cancel: CancellationToken) {
     let mut rng = context.fork_rng();
@@ -91,6 +126,7 @@
     };
     let learned = learn_notices(context, &message.notices);
     let departed = learn_departures(context, leaf, &message.departures);
+    context.hear(message.sender.serving, message.stamp);
     let extras = context.extras();
     let out = {
         let mut fleet = context.fleet.lock();
@@ -204,9 +240,7 @@
 pub fn is_watcher(context: &Context) -> bool {
     let view = context.view();
     let own = &context.settings.domain;
-    let alive = |r: &&policy::membership::Record| {
-        r.status == Status::Alive && !r.leaving && r.domain == *own
-    };
+    let alive = |r: &&policy::membership::Record| r.status == Status::Alive && r.domain == *own;
     let weight = |node| routing::weight(b"watcher", own.as_str().as_bytes(), node);
     let mine = weight(context.node);
     let ahead = view.iter().filter(alive).filter(|r| weight(r.node) > mine);
--- a/crates/node/src/home.rs
+++ b/crates/node/src/home.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration, time::Instant};
 
-use config::deployment::{Class, Service};
+use config::deployment::Class;
 use parking_lot::Mutex;
 use policy::{
     home::{Home, Id, Memory, Verdict},
@@ -57,7 +57,7 @@
     /// An error means that the request was not understood and has not run.
     pub async fn run(self: &Arc<Runner>, call: caller::Run) -> Result<answer::Run, caller::Error> {
         let arrived = self.context.now();
-        let Some(value) = self.context.config() else {
+        let Some(value) = self.context.config_for_callers() else {
             // Of an id that was sent before, this node cannot say that it did not run.
             let outcome = if call.id.is_some() { Outcome::Unknown } else { Outcome::NotRun };
             return Ok(self.count(answer::Run::refused(outcome, Reason::NotReady)));
@@ -82,7 +82,9 @@
     pub async fn run_forwarded(self: &Arc<Runner>, call: peer::Run) -> answer::Run {
         let arrived = self.context.now();
         let refuse = |reason| answer::Run::refused(Outcome::Unknown, reason);
-        let Some(value) = self.context.config() else { return refuse(Reason::NotReady) };
+        let Some(value) = self.context.config_for_callers() else {
+            return refuse(Reason::NotReady);
+        };
         let class = root::check(&value.deployment, &call.caller, &call.class, &call.service, true);
         let Ok(class) = class else { return refuse(Reason::NotReady) };
         let request = Request {
@@ -127,11 +129,9 @@
 
     async fn execute(&self, request: &Request) -> answer::Run {
         let value = self.context.config();
-        let service = value.as_ref().and_then(|v| v.deployment.service(&request.service));
-        let Some(service) = service else {
+        let Some(service) = value.as_ref().and_then(|v| v.service(&request.service)) else {
             return answer::Run::refused(Outcome::NotRun, Reason::NotReady);
         };
-        let service: &Service = service;
         let Request { class, key, body, deadline, .. } = request;
         match self.root.execute(service, class, key, body, *deadline).await {
             Ok(slice) => answer::Run {
--- a/crates/node/src/http_server.rs
+++ b/crates/node/src/http_server.rs
@@ -116,7 +116,15 @@
     let query = request.uri().query().unwrap_or("");
     let name = query.split('&').find_map(|p| p.strip_prefix("caller="));
     match name {
-        Some(name) if !name.is_empty() => json(StatusCode::OK, &node.addresses(name)),
+        Some(name) if !name.is_empty() => {
+            let answer = node.addresses(name);
+            // A node that has just started knows none yet; the caller should ask another.
+            let status = match answer.addresses.is_empty() {
+                true => StatusCode::SERVICE_UNAVAILABLE,
+                false => StatusCode::OK,
+            };
+            json(status, &answer)
+        }
         _ => {
             let error = caller::Error::new("caller", "missing, allowed ?caller=NAME".to_owned());
             invalid(node, StatusCode::BAD_REQUEST, &error)
--- a/crates/node/src/leaf.rs
+++ b/crates/node/src/leaf.rs
@@ -72,7 +72,7 @@
 
     /// Windows of groups; upstreams are asked where nothing is known yet.
     pub async fn windows(&self, name: &id::Service, groups: &[id::Group]) -> Vec<Option<Window>> {
-        let service = self.context.config().and_then(|v| v.deployment.service(name).cloned());
+        let service = self.context.config().and_then(|v| v.service(name).cloned());
         let Some(service) = service else { return vec![None; groups.len()] };
         let asked = groups.iter().map(|group| {
             let slot = self.slot(&service, *group);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -56,6 +56,7 @@
         tokio::spawn(fleet::follow_list(context.clone(), leaf.clone(), cancel.clone()));
         tokio::spawn(configuration::watch(context.clone(), leaf.clone(), cancel.clone()));
         tokio::spawn(leaf.clone().probe());
+        tokio::spawn(fleet::join(context.clone(), cancel.clone()));
     }
 
     /// Token that ends the node's tasks.
@@ -78,7 +79,7 @@
 
     /// Whether the node may be named to callers and is ready for them.
     pub fn is_ready(&self) -> bool {
-        self.context.config().is_some() && !self.context.is_stopping()
+        self.context.config_for_callers().is_some() && !self.context.is_stopping()
     }
 
     /// Addresses for the caller named `name`.
@@ -205,9 +206,9 @@
     }
 }
 
-/// The nodes that callers may be told of: alive ones if there are any, and never a leaving one.
+/// The nodes that callers may be told of: alive ones if there are any, and never one that is starting or stopping.
 fn nameable<'a>(own: &'a Record, view: &'a [Record]) -> Vec<&'a Record> {
-    let all = || std::iter::once(own).chain(view).filter(|r| !r.leaving);
+    let all = || std::iter::once(own).chain(view).filter(|r| r.serving);
     let alive: Vec<&Record> = all().filter(|r| r.status == Status::Alive).collect();
     if !alive.is_empty() {
         return alive;
--- a/crates/node/src/root.rs
+++ b/crates/node/src/root.rs
@@ -147,7 +147,7 @@
     /// An error means that the request was not understood and has not run.
     pub async fn search(&self, call: caller::Search) -> Result<answer::Search, caller::Error> {
         let arrived = self.context.now();
-        let Some(value) = self.context.config() else {
+        let Some(value) = self.context.config_for_callers() else {
             return Ok(self.count(answer::Search::refused(Outcome::NotRun, Reason::NotReady)));
         };
         if call.services.is_empty() {
@@ -159,9 +159,9 @@
             if call.services[..i].contains(name) {
                 return Err(caller::Error::new("services", format!("{name} stands twice")));
             }
-            let service = value.deployment.service(name);
+            let service = value.service(name);
             let service = service.ok_or_else(|| unknown_service(name))?;
-            scopes.push(Scope { service: Arc::new(service.clone()), version: None });
+            scopes.push(Scope { service: service.clone(), version: None });
         }
         let class = check(&value.deployment, &call.caller, &call.class, &call.services[0], false)?;
         let limit = call.limit.unwrap_or(caller::HITS_DEFAULT);
@@ -196,7 +196,7 @@
     /// Runs a non-idempotent request on the group that holds `key`, with one attempt.
     pub async fn execute(
         &self,
-        service: &Service,
+        service: &Arc<Service>,
         class: &Class,
         key: &str,
         body: &str,
@@ -217,7 +217,7 @@
             false => None,
         };
         let plan = Plan {
-            scopes: vec![Scope { service: Arc::new(service.clone()), version }],
+            scopes: vec![Scope { service: service.clone(), version }],
             rank: class.rank,
             idempotent: false,
             fingerprint,
@@ -352,8 +352,10 @@
                 Ok(windows) => (groups, windows),
                 // A dead leaf must not keep the query from being planned.
                 Err(_) => {
-                    let windows = self.leaf.windows(&service.name, &groups).await;
-                    (groups, windows)
+                    let own = self.leaf.windows(&service.name, &groups);
+                    let unknown = vec![None; groups.len()];
+                    let windows = tokio::time::timeout(WINDOWS_TIMEOUT, own).await;
+                    (groups, windows.unwrap_or(unknown))
                 }
             }
         });
@@ -374,7 +376,7 @@
         }
         let mut domains: BTreeMap<&id::Domain, Vec<id::Node>> = BTreeMap::new();
         let view = context.view();
-        for record in view.iter().filter(|r| r.status == Status::Alive && !r.leaving) {
+        for record in view.iter().filter(|r| r.status == Status::Alive && r.serving) {
             domains.entry(&record.domain).or_default().push(record.node);
         }
         let mut own = domains.remove(&context.settings.domain).unwrap_or_default();
--- a/crates/node/src/slot.rs
+++ b/crates/node/src/slot.rs
@@ -349,7 +349,8 @@
                 let beside = state.group.replicas().iter().find(|r| r.upstream == upstream);
                 let beside = beside.map_or(1, Replica::in_flight);
                 context.raise_suspicion();
-                let newly = context.book.lock().lost(context.now(), fingerprint, beside);
+                let known = context.known.contains(fingerprint);
+                let newly = context.book.lock().lost(context.now(), fingerprint, beside, known);
                 if newly {
                     context.counters.count(Name::Quarantined);
                     log::warn!(
@@ -358,7 +359,12 @@
                     crate::fleet::spread_news(context);
                 }
             }
-            Reply::Done if context.has_suspicion() => context.book.lock().completed(fingerprint),
+            Reply::Done => {
+                context.known.completed(fingerprint);
+                if context.has_suspicion() {
+                    context.book.lock().completed(fingerprint);
+                }
+            }
             _ => {}
         }
     }
--- a/crates/policy/src/adoption.rs
+++ b/crates/policy/src/adoption.rs
@@ -3,7 +3,7 @@
 use std::{cmp::Ordering, sync::Arc};
 
 use base::{hash, id, unit::Generation};
-use config::deployment::{self, Deployment};
+use config::deployment::{self, Deployment, Service};
 use serde::{Deserialize, Serialize};
 
 /// A checked configuration with its text.
@@ -11,12 +11,21 @@
 pub struct Value {
     /// The configuration.
     pub deployment: Deployment,
+    /// Its services, for plans to share.
+    services: Vec<Arc<Service>>,
     /// The published text.
     pub bytes: Vec<u8>,
     /// Where it stands among all values.
     pub stamp: Stamp,
 }
 
+impl Value {
+    /// The service named `name`.
+    pub fn service(&self, name: &id::Service) -> Option<&Arc<Service>> {
+        self.services.iter().find(|s| s.name == *name)
+    }
+}
+
 /// Place of a value in the order of adoption: by generation, then by content.
 ///
 /// The content only decides between two values that were published under one generation by
@@ -91,6 +100,7 @@
         }
         let digest = hash::stable(&[bytes]);
         let stamp = Stamp { generation: deployment.generation, digest };
-        Ok(Value { deployment, bytes: bytes.to_vec(), stamp })
+        let services = deployment.services.iter().cloned().map(Arc::new).collect();
+        Ok(Value { services, deployment, bytes: bytes.to_vec(), stamp })
     }
 }
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -62,8 +62,8 @@
     pub counter: u32,
     /// Liveness.
     pub status: Status,
-    /// Whether it is stopping and takes no new callers.
-    pub leaving: bool,
+    /// Whether it takes callers and work of roots: not while it starts or stops.
+    pub serving: bool,
     /// Its failure domain.
     pub domain: id::Domain,
     /// Where it serves callers.
@@ -244,10 +244,20 @@
 
     /// Announces that this node is stopping.
     pub fn leave(&mut self, extras: &Extras, rng: &mut dyn RngCore) -> Vec<Out> {
-        self.own.leaving = true;
+        self.set_serving(false);
+        self.spread_news(extras, rng)
+    }
+
+    /// Announces that this node serves callers.
+    pub fn join(&mut self, extras: &Extras, rng: &mut dyn RngCore) -> Vec<Out> {
+        self.set_serving(true);
+        self.spread_news(extras, rng)
+    }
+
+    fn set_serving(&mut self, serving: bool) {
+        self.own.serving = serving;
         self.own.counter += 1;
         self.changed();
-        self.spread_news(extras, rng)
     }
 
     /// Tells some nodes of news at once; `extras` holds what is new.
@@ -310,8 +320,8 @@
             return digest;
         }
         let of = |r: &Record| {
-            let Record { node, incarnation, counter, status, leaving, .. } = r;
-            let text = format!("{node} {incarnation} {counter} {status:?} {leaving}");
+            let Record { node, incarnation, counter, status, serving, .. } = r;
+            let text = format!("{node} {incarnation} {counter} {status:?} {serving}");
             hash::stable(&[text.as_bytes()])
         };
         // The sum does not depend on the order, which differs between nodes.
@@ -495,7 +505,7 @@
 
     fn refute(&mut self, record: &Record) {
         let same = record.incarnation == self.own.incarnation;
-        let doubted = record.status != Status::Alive || record.leaving != self.own.leaving;
+        let doubted = record.status != Status::Alive || record.serving != self.own.serving;
         if same && doubted && record.counter >= self.own.counter {
             self.own.counter = record.counter + 1;
             self.changed();
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::VecDeque,
+    sync::atomic::{AtomicU64, Ordering},
     time::{Duration, Instant},
 };
 
@@ -14,6 +15,8 @@
 pub const LIMIT: usize = 1_024;
 /// Weight of lost upstreams at which a fingerprint is quarantined.
 const THRESHOLD: f64 = 1.5;
+/// The same for a fingerprint that has completed lately: it more likely ran beside the cause.
+const KNOWN_THRESHOLD: f64 = 6.0;
 
 /// A quarantined fingerprint, as spread between nodes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -64,14 +67,16 @@
         self.entries.get(&fingerprint).is_some_and(|e| e.quarantined && e.until > now)
     }
 
-    /// Records the loss of an upstream that ran `beside` requests, this one included.
+    /// Records the loss of an upstream that ran `beside` requests, this one included. `known`
+    /// says that the fingerprint has completed lately.
     /// Returns whether that newly quarantines the fingerprint.
-    pub fn lost(&mut self, now: Instant, fingerprint: u64, beside: usize) -> bool {
+    pub fn lost(&mut self, now: Instant, fingerprint: u64, beside: usize, known: bool) -> bool {
+        let threshold = if known { KNOWN_THRESHOLD } else { THRESHOLD };
         let share = 1.0 / beside.max(1) as f64;
         let entry = self.entry(now, fingerprint);
         entry.weight += share;
         entry.until = now + EXPIRY;
-        let newly = !entry.quarantined && entry.weight >= THRESHOLD;
+        let newly = !entry.quarantined && entry.weight >= threshold;
         entry.quarantined |= newly;
         self.count += usize::from(newly);
         newly
@@ -132,3 +137,41 @@
         self.order.retain(|f| *f != fingerprint);
     }
 }
+
+/// Fingerprints that [`Known`] remembers at most.
+const KNOWN: usize = 4_096;
+
+/// Fingerprints of requests that have completed lately: lock-free, and forgetful.
+///
+/// Each fingerprint has one place; the last one to complete there is remembered.
+#[derive(Debug)]
+pub struct Known {
+    places: Vec<AtomicU64>,
+}
+
+impl Default for Known {
+    fn default() -> Known {
+        Known::new()
+    }
+}
+
+impl Known {
+    /// Remembers nothing yet.
+    pub fn new() -> Known {
+        Known { places: (0..KNOWN).map(|_| AtomicU64::new(0)).collect() }
+    }
+
+    /// Records that a request with `fingerprint` completed.
+    pub fn completed(&self, fingerprint: u64) {
+        self.place(fingerprint).store(fingerprint, Ordering::Relaxed);
+    }
+
+    /// Whether a request with `fingerprint` has completed lately.
+    pub fn contains(&self, fingerprint: u64) -> bool {
+        self.place(fingerprint).load(Ordering::Relaxed) == fingerprint
+    }
+
+    fn place(&self, fingerprint: u64) -> &AtomicU64 {
+        &self.places[fingerprint as usize % KNOWN]
+    }
+}
--- a/crates/policy/src/routing.rs
+++ b/crates/policy/src/routing.rs
@@ -1,5 +1,7 @@
 //! Which node is the leaf of a shard group.
 
+use std::net::IpAddr;
+
 use base::{hash, id};
 
 /// Nodes in descending preference as the leaf for a group, by rendezvous hashing.
@@ -17,5 +19,9 @@
 
 /// Rendezvous weight of `node` for a thing named by two parts.
 pub fn weight(kind: &[u8], name: &[u8], node: id::Node) -> u64 {
-    hash::stable(&[kind, name, node.to_string().as_bytes()])
+    let port = node.0.port().to_be_bytes();
+    match node.0.ip() {
+        IpAddr::V4(ip) => hash::stable(&[kind, name, &ip.octets(), &port]),
+        IpAddr::V6(ip) => hash::stable(&[kind, name, &ip.octets(), &port]),
+    }
 }
