--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -5,6 +5,8 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use crate::number::numbers;
+
 /// An identifier that could not be parsed.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 #[error("{kind}: read {read:?}, allowed {allowed}")]
@@ -89,35 +91,6 @@
     Caller, "caller";
 }
 
-macro_rules! numbers {
-    ($($(#[$doc:meta])* $name:ident($int:ty), $kind:literal;)*) => {$(
-        $(#[$doc])*
-        #[derive(
-            Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
-        )]
-        #[serde(transparent)]
-        pub struct $name(pub $int);
-
-        impl fmt::Display for $name {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                fmt::Display::fmt(&self.0, f)
-            }
-        }
-
-        impl FromStr for $name {
-            type Err = Error;
-
-            fn from_str(text: &str) -> Result<$name, Error> {
-                text.parse().map($name).map_err(|_| Error {
-                    kind: $kind,
-                    read: text.to_owned(),
-                    allowed: "a non-negative integer",
-                })
-            }
-        }
-    )*};
-}
-
 numbers! {
     /// Index of a shard group within its service's map.
     Group(u16), "group";
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -8,3 +8,5 @@
 pub mod id;
 pub mod keyspace;
 pub mod unit;
+
+mod number;
--- a/crates/base/src/unit.rs
+++ b/crates/base/src/unit.rs
@@ -4,42 +4,13 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::Error;
-
-macro_rules! counters {
-    ($($(#[$doc:meta])* $name:ident, $kind:literal;)*) => {$(
-        $(#[$doc])*
-        #[derive(
-            Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize,
-            Deserialize,
-        )]
-        #[serde(transparent)]
-        pub struct $name(pub u64);
-
-        impl fmt::Display for $name {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                fmt::Display::fmt(&self.0, f)
-            }
-        }
-
-        impl FromStr for $name {
-            type Err = Error;
-
-            fn from_str(text: &str) -> Result<$name, Error> {
-                let allowed = "a non-negative integer";
-                text.parse()
-                    .map($name)
-                    .map_err(|_| Error { kind: $kind, read: text.to_owned(), allowed })
-            }
-        }
-    )*};
-}
+use crate::{id::Error, number::numbers};
 
-counters! {
+numbers! {
     /// Generation of a published configuration; higher replaces lower.
-    Generation, "generation";
+    Generation(u64), "generation";
     /// Version of a service's index; higher is newer.
-    Version, "version";
+    Version(u64), "version";
 }
 
 /// Share of a whole, from 0 to 1, kept in parts per million so that it compares exactly.
--- a/crates/policy/src/latency.rs
+++ b/crates/policy/src/latency.rs
@@ -7,9 +7,9 @@
 /// Requests after which the older half of the window is dropped.
 const WINDOW: u64 = 2_000;
 /// Requests between two computations of the quantile.
-const REFRESH: u64 = 50;
+const REFRESH: u64 = 25;
 /// Requests below which a quantile says nothing.
-const LEAST: u64 = 100;
+const LEAST: u64 = 25;
 const HIGHEST_US: u64 = 60_000_000;
 
 /// Quantile of recent latencies.
