Gauges and a latency histogram beside counters; a frozen process in the rolling experiment

Cause: statsd got counters only; operators expect gauges and latencies. Change: six gauges and search.ms once a second, bounded; the rolling experiment freezes one process under load and wakes it.

--- a/crates/lab/examples/rolling.rs
+++ b/crates/lab/examples/rolling.rs
@@ -32,6 +32,7 @@
 const CALLERS: usize = 20;
 /// Time between two searches of one caller.
 const INTERVAL: Duration = Duration::from_millis(200);
+const FREEZE: Duration = Duration::from_secs(5);
 const COST_SPAN: Duration = Duration::from_secs(20);
 const GROUPS: f64 = 25.0;
 /// Ticks a second in which the system counts processor time.
@@ -102,13 +103,44 @@
         ready(&seeds[index..=index]).await;
     }
     println!("{NODES} processes replaced in {:.0} s", begun.elapsed().as_secs_f64());
+    let elsewhere = freeze(&children[0], places[0].callers, &tally).await?;
     let generations = generations(&settings).await;
     tally.over.store(true, Ordering::Relaxed);
     for caller in callers {
         caller.await?;
     }
     children.iter_mut().for_each(|c| drop(c.kill()));
-    report(&tally, &exits, &generations)
+    Ok(if elsewhere == 0 { report(&tally, &exits, &generations)? } else { ExitCode::FAILURE })
+}
+
+/// Freezes a process under load and wakes it; returns the searches that failed elsewhere.
+///
+/// Callers that are connected to the frozen process itself wait for it: their searches are
+/// counted apart, and taken out of the tally.
+async fn freeze(
+    child: &Child,
+    address: std::net::SocketAddr,
+    tally: &Tally,
+) -> Result<usize, Failure> {
+    let before = tally.failures.lock().len();
+    let signal = |name: &str| Command::new("kill").args([name, &child.id().to_string()]).status();
+    signal("-STOP")?;
+    tokio::time::sleep(FREEZE).await;
+    signal("-CONT")?;
+    tokio::time::sleep(FREEZE).await;
+    let mut failures = tally.failures.lock();
+    let new = failures.split_off(before);
+    let own = format!("by {address}:");
+    let (there, elsewhere): (Vec<String>, Vec<String>) =
+        new.into_iter().partition(|f| f.contains(&own));
+    println!(
+        "one process frozen for {} s: {} searches not complete at it, {} elsewhere",
+        FREEZE.as_secs(),
+        there.len(),
+        elsewhere.len()
+    );
+    elsewhere.iter().chain(&there).take(4).for_each(|f| println!("  {}", &f[..f.len().min(160)]));
+    Ok(elsewhere.len())
 }
 
 fn report(tally: &Tally, exits: &[Option<i32>], generations: &[u64]) -> Result<ExitCode, Failure> {
--- a/crates/node/src/counter.rs
+++ b/crates/node/src/counter.rs
@@ -1,8 +1,12 @@
-//! Counters of a node: counted with atomics, sent to statsd once a second.
+//! Counters, gauges and latencies of a node, sent to statsd once a second.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
 
-use cadence::{Counted, StatsdClient};
+use cadence::{Counted, Gauged, Histogrammed, StatsdClient};
+use parking_lot::Mutex;
 
 macro_rules! counters {
     ($($(#[$doc:meta])* $name:ident => $text:literal;)*) => {
@@ -79,10 +83,21 @@
     StopCutOff => "stop.cut_off";
 }
 
+/// Latencies kept between two sendings.
+pub const LATENCIES: usize = 4_096;
+
+/// Sends gauges.
+pub fn send_gauges(client: &StatsdClient, gauges: &[(&str, u64)]) {
+    for (name, value) in gauges {
+        let _ = client.gauge(name, *value);
+    }
+}
+
 /// The counters of one node.
 #[derive(Debug)]
 pub struct Counters {
     values: Vec<AtomicU64>,
+    latencies: Mutex<Vec<Duration>>,
 }
 
 impl Default for Counters {
@@ -94,7 +109,8 @@
 impl Counters {
     /// Counters at zero.
     pub fn new() -> Counters {
-        Counters { values: TEXTS.iter().map(|_| AtomicU64::new(0)).collect() }
+        let values = TEXTS.iter().map(|_| AtomicU64::new(0)).collect();
+        Counters { values, latencies: Mutex::default() }
     }
 
     /// Adds one.
@@ -107,6 +123,15 @@
         self.values[name as usize].fetch_add(n, Ordering::Relaxed);
     }
 
+    /// Records the time that a search took; those beyond [`LATENCIES`] between two sendings are
+    /// left out.
+    pub fn latency(&self, took: Duration) {
+        let mut latencies = self.latencies.lock();
+        if latencies.len() < LATENCIES {
+            latencies.push(took);
+        }
+    }
+
     /// The value of one counter.
     pub fn value(&self, name: Name) -> u64 {
         self.values[name as usize].load(Ordering::Relaxed)
@@ -118,6 +143,14 @@
         TEXTS.iter().map(|t| (*t).to_owned()).zip(values).collect()
     }
 
+    /// Sends the latencies recorded since the last sending, as `search.ms`.
+    pub fn send_latencies(&self, client: &StatsdClient) {
+        let latencies = std::mem::take(&mut *self.latencies.lock());
+        for took in latencies {
+            let _ = client.histogram("search.ms", took.as_millis() as u64);
+        }
+    }
+
     /// Sends what was added since `before`, the values sent last, and updates it.
     pub fn send(&self, client: &StatsdClient, before: &mut Vec<(String, u64)>) {
         let now = self.snapshot();
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -115,7 +115,10 @@
     /// Answers a search.
     pub async fn search(&self, call: caller::Search) -> Result<answer::Search, caller::Error> {
         let _serving = Serving::new(&self.context);
-        self.root.search(call).await
+        let arrived = self.context.now();
+        let answer = self.root.search(call).await;
+        self.context.counters.latency(self.context.now().saturating_duration_since(arrived));
+        answer
     }
 
     /// Answers a non-idempotent request.
@@ -130,6 +133,20 @@
         self.runner.run_forwarded(call).await
     }
 
+    /// Gauges, by name.
+    pub fn gauges(&self) -> [(&'static str, u64); 6] {
+        let context = &self.context;
+        let alive = context.view().iter().filter(|r| r.status == Status::Alive).count();
+        [
+            ("requests", context.requests() as u64),
+            ("lower_limit", self.root.lower_limit() as u64),
+            ("ids", self.runner.ids() as u64),
+            ("members.alive", alive as u64),
+            ("quarantine.size", context.book.lock().len() as u64),
+            ("config.generation", context.stamp().generation.0),
+        ]
+    }
+
     /// State for operators.
     pub fn status(&self) -> operator::Status {
         let context = &self.context;
--- a/crates/node/src/server.rs
+++ b/crates/node/src/server.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     context::{Context, Edges},
-    counter::Name,
+    counter::{self, Name},
     http_platform, http_server, http_upstream,
     node::Node,
     operator, tarpc_peer, udp,
@@ -143,5 +143,7 @@
             () = tokio::time::sleep(METRICS_PERIOD) => {}
         }
         node.context.counters.send(&client, &mut sent);
+        node.context.counters.send_latencies(&client);
+        counter::send_gauges(&client, &node.gauges());
     }
 }
