--- a/crates/lab/examples/experiment.rs
+++ b/crates/lab/examples/experiment.rs
@@ -113,7 +113,7 @@
 }
 
 fn shapes(queries: usize) {
-    header("other service times at 60%");
+    header("other service times at 60%; domain stalls: one domain 10x slower, 100 ms every 2 s");
     let shapes = [
         ("no stalls", Shape::LogNormal { mu: 1.9, sigma: 0.7, stalls: 0.0 }),
         ("Pareto 2.1", Shape::Pareto { scale: 4.0, alpha: 2.1 }),
@@ -126,6 +126,11 @@
             trials.push((format!("{policy:?}, {text}"), trial));
         }
     }
+    for policy in [Policy::Plain, Policy::Direct, Policy::Cells] {
+        let fault = Fault::DomainStalls;
+        let trial = Trial { fault, ..Trial::new(policy, 0.6, queries, SEED) };
+        trials.push((format!("{policy:?}, domain stalls"), trial));
+    }
     run_all(trials).iter().for_each(|(name, _, figures)| row(name, figures));
 }
 
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -49,6 +49,8 @@
     None,
     /// One replica of one group is ten times slower.
     SlowReplica,
+    /// All upstreams of one failure domain stall together, again and again.
+    DomainStalls,
     /// All upstreams of a group are down for a while, in the middle of the run.
     GroupOutage,
 }
@@ -261,6 +263,7 @@
     match fault {
         Fault::None => {}
         Fault::SlowReplica => upstreams[0].behave(|b| b.slowness = 10.0),
+        Fault::DomainStalls => stall_domain(&cluster).await,
         Fault::GroupOutage => {
             tokio::time::sleep(span.mul_f64(0.3)).await;
             upstreams.iter().for_each(|u| u.behave(|b| b.down = true));
@@ -277,6 +280,25 @@
     }
 }
 
+/// Stalls the first replica of each group, which are in one failure domain.
+async fn stall_domain(cluster: &Cluster) {
+    let one = base::unit::Generation(1);
+    let deployment = cluster::deployment(&cluster.options, one, one, GROUPS);
+    let first = deployment.services[0].groups.iter().filter_map(|g| g.servers.first());
+    let upstreams: Vec<_> = first.filter_map(|s| cluster.farm.upstream(s.upstream)).collect();
+    let slow = |factor: f64| upstreams.iter().for_each(|u| u.behave(|b| b.slowness = factor));
+    loop {
+        tokio::time::sleep(STALL_EVERY).await;
+        slow(STALLED);
+        tokio::time::sleep(STALL_SPAN).await;
+        slow(1.0);
+    }
+}
+
+/// Requests that start within a stall of their failure domain take so many times longer.
+const STALLED: f64 = 10.0;
+const STALL_EVERY: Duration = Duration::from_secs(2);
+const STALL_SPAN: Duration = Duration::from_millis(100);
 /// Length of an outage of a group.
 pub const OUTAGE: Duration = Duration::from_secs(10);
 /// Factor on the service time of an upstream that has just started, and for how long.
