Closed connections and windows of old maps are dropped

Cause: reading for unbounded state: connections that an upstream closes while idle stayed in the pool's list below newer ones, and windows were kept for every shard map ever planned on. Change: closed connections are dropped whenever one is put back; windows of the two newest maps of a service are kept.

--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -159,7 +159,10 @@
         let status = response.status();
         let body = response.into_body().collect().await.map_err(|_| Error::Lost(node))?.to_bytes();
         if connection.ready().await.is_ok() {
-            self.idle.lock().entry(node).or_default().push(connection);
+            let mut idle = self.idle.lock();
+            let kept = idle.entry(node).or_default();
+            kept.retain(|c| !c.is_closed());
+            kept.push(connection);
         }
         Ok((status, body))
     }
--- a/crates/node/src/http_upstream.rs
+++ b/crates/node/src/http_upstream.rs
@@ -114,7 +114,7 @@
             let body = http_body::read(response.into_body(), STATUS_LIMIT).await;
             let body = body.map_err(|_| UpstreamError::Bad)?;
             if pooled {
-                pool.idle.lock().push(connection);
+                pool.put_back(connection);
             }
             upstream::parse(&body).map_err(|_| UpstreamError::Bad)
         })
@@ -132,8 +132,7 @@
     // Looked at again here: the process may have been paused since the decision to send.
     let remaining = left();
     if remaining.is_zero() {
-        pool.idle.lock().push(connection);
-        pool.returned.notify_one();
+        pool.put_back(connection);
         return Err(UpstreamError::Unreached);
     }
     let mut message = sub.request;
@@ -152,8 +151,7 @@
     };
     let reply = read(response).await?;
     if connection.ready().await.is_ok() {
-        pool.idle.lock().push(connection);
-        pool.returned.notify_one();
+        pool.put_back(connection);
     }
     reply
 }
@@ -205,6 +203,14 @@
 }
 
 impl Pool {
+    /// Keeps a connection for the next request, and drops those that have closed meanwhile.
+    fn put_back(&self, connection: Connection) {
+        let mut idle = self.idle.lock();
+        idle.retain(|c| !c.is_closed());
+        idle.push(connection);
+        self.returned.notify_one();
+    }
+
     fn pop(&self) -> Option<Connection> {
         self.idle.lock().pop()
     }
--- a/crates/node/src/root.rs
+++ b/crates/node/src/root.rs
@@ -48,6 +48,8 @@
 const LEAVES: usize = 3;
 /// Share of the time left after which a silent leaf's groups are asked for elsewhere.
 const SILENCE: f64 = 0.5;
+/// Shard maps of one service whose windows are kept.
+const MAPS_KEPT: u64 = 2;
 /// Time for a leaf to tell the windows of its groups.
 const WINDOWS_TIMEOUT: Duration = Duration::from_millis(20);
 /// Age from which known windows are refreshed beside a query.
@@ -277,7 +279,13 @@
             }
             _ => {
                 let windows = self.ask_windows(service).await;
-                self.windows.lock().insert(key, Known { windows: windows.clone(), at: now });
+                let mut all = self.windows.lock();
+                // Those of maps that no running query can be planned on any more.
+                all.retain(|(name, map), _| {
+                    *name != service.name || map.0 + MAPS_KEPT > service.map.0
+                });
+                all.insert(key, Known { windows: windows.clone(), at: now });
+                drop(all);
                 version::choose(&windows)
             }
         }
