--- a/crates/balsamgate/tests/process.rs
+++ b/crates/balsamgate/tests/process.rs
@@ -52,10 +52,10 @@
     around.platform.change(|state| state.vms = vec![vm]);
     let text = local::settings_text(&around.settings(0, place));
     let path = settings_file("node.ini", &text);
-    let mut child = Command::new(PROGRAM)
+    let child = Command::new(PROGRAM)
         .args(["run", "--settings"])
         .arg(&path)
-        .stderr(Stdio::null())
+        .stderr(Stdio::piped())
         .spawn()
         .expect("started");
 
@@ -79,8 +79,13 @@
     // The node serves those who still hold its address.
     let held = client.search(place.callers, &search("lotes"), &HeaderMap::new()).await;
     assert_eq!(held.expect("served").outcome, Outcome::Complete);
-    let status = tokio::task::spawn_blocking(move || child.wait()).await.expect("joined");
-    assert_eq!(status.expect("waited").code(), Some(0));
+    let output = tokio::task::spawn_blocking(move || child.wait_with_output()).await;
+    let output = output.expect("joined").expect("waited");
+    assert_eq!(output.status.code(), Some(0));
+    // Lines tell changes of state only, however many requests were served.
+    let log = String::from_utf8_lossy(&output.stderr);
+    let noise = ["root.search", "leaf;", "upstream;"].iter().find(|n| log.contains(**n));
+    assert!(log.contains("planned stop announced") && noise.is_none(), "{log}");
 }
 
 #[test]
--- a/crates/node/src/home.rs
+++ b/crates/node/src/home.rs
@@ -176,7 +176,7 @@
             id: request.id,
             remaining_ms: left.saturating_sub(HOP_MARGIN).as_millis() as u64,
         };
-        let span = tracing::info_span!("home", %node);
+        let span = tracing::debug_span!("home", %node);
         let asked = self.context.edges.peer.run(node, message).instrument(span);
         match tokio::time::timeout(left, asked).await {
             Ok(Ok(answer)) => answer,
--- a/crates/node/src/http_server.rs
+++ b/crates/node/src/http_server.rs
@@ -133,7 +133,7 @@
 }
 
 async fn search(node: &Node, request: Request<Incoming>) -> Response<Outgoing> {
-    let span = tracing::info_span!("root.search");
+    let span = tracing::debug_span!("root.search");
     trace::continue_from(&span, request.headers());
     let answered = async {
         let call = read(node, request).await?;
@@ -146,7 +146,7 @@
 }
 
 async fn run(node: &Node, request: Request<Incoming>) -> Response<Outgoing> {
-    let span = tracing::info_span!("root.run");
+    let span = tracing::debug_span!("root.run");
     trace::continue_from(&span, request.headers());
     let answered = async {
         let call = read(node, request).await?;
--- a/crates/node/src/root.rs
+++ b/crates/node/src/root.rs
@@ -434,7 +434,7 @@
         let left = plan.deadline.saturating_duration_since(self.context.now());
         for (leaf, asked) in by_leaf {
             let silent = asked.clone();
-            let span = tracing::info_span!("leaf", node = %leaf, groups = asked.len());
+            let span = tracing::debug_span!("leaf", node = %leaf, groups = asked.len());
             let targets: Vec<Target> = asked.iter().map(|i| progress[*i].target).collect();
             // Made within the span, so that the hop continues it.
             let ask = span.in_scope(|| self.ask(plan, leaf, asked, &targets));
--- a/crates/node/src/slot.rs
+++ b/crates/node/src/slot.rs
@@ -248,7 +248,7 @@
             fingerprint: pending.fingerprint,
             armed: true,
         };
-        let span = tracing::info_span!(parent: &pending.span, "upstream", %upstream, %attempt);
+        let span = tracing::debug_span!(parent: &pending.span, "upstream", %upstream, %attempt);
         tokio::spawn(guard.finish(sub).instrument(span));
     }
 
