--- a/crates/balsamgate/src/main.rs
+++ b/crates/balsamgate/src/main.rs
@@ -1,6 +1,7 @@
 //! `balsamgate`: one node of the query tier.
 
 mod observe;
+mod relay;
 
 use std::{path::PathBuf, process::ExitCode};
 
@@ -22,6 +23,13 @@
         #[bpaf(long, short, argument("FILE"))]
         settings: PathBuf,
     },
+    /// Runs a node that relays requests on the users' platform.
+    #[bpaf(command)]
+    Relay {
+        /// Settings of the node, in INI
+        #[bpaf(long, short, argument("FILE"))]
+        settings: PathBuf,
+    },
     /// Lists every setting with its unit, range and default.
     #[bpaf(command)]
     Settings,
@@ -52,6 +60,11 @@
         }
         Command::Check { settings } => read(&settings).map(|_| println!("settings are valid")),
         Command::Run { settings } => run(read(&settings)?),
+        Command::Relay { settings } => {
+            let settings = read_relay(&settings)?;
+            observe::start_stdout_log(&settings.log_level)?;
+            relay::run(settings)
+        }
     }
 }
 
@@ -61,6 +74,12 @@
     Ok(Settings::parse(&name, &text)?)
 }
 
+fn read_relay(path: &PathBuf) -> eyre::Result<config::relay::Settings> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).wrap_err_with(|| name.clone())?;
+    Ok(config::relay::Settings::parse(&name, &text)?)
+}
+
 fn list_settings() {
     for help in HELP {
         println!("{}", help.field);
--- a/crates/balsamgate/src/observe.rs
+++ b/crates/balsamgate/src/observe.rs
@@ -22,6 +22,15 @@
     Ok(())
 }
 
+/// Starts the log on standard output.
+pub(crate) fn start_stdout_log(level: &str) -> eyre::Result<()> {
+    let level: LevelFilter = level.parse()?;
+    let config =
+        ConfigBuilder::new().set_time_format_rfc3339().add_filter_ignore_str("tarpc").build();
+    TermLogger::init(level, config, TerminalMode::Stdout, ColorChoice::Never)?;
+    Ok(())
+}
+
 /// Client of the statsd server in the settings.
 pub(crate) fn metrics(settings: &Settings) -> eyre::Result<Option<StatsdClient>> {
     let Some(address) = settings.statsd else { return Ok(None) };
--- /dev/null
+++ b/crates/balsamgate/src/relay.rs
@@ -0,0 +1,99 @@
+//! `balsamgate relay`: a node that relays requests on the users' platform.
+
+use std::{sync::Arc, time::Duration};
+
+use base::{
+    clock::{Anchored, Boot, Clock},
+    id,
+};
+use config::relay::Settings;
+use eyre::WrapErr;
+use platform::{Directory, Headers, Ready, Store};
+use relay::{
+    catalog, fleet,
+    front::{self, Handler, Relay},
+    node::Node,
+    peer, socket,
+};
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    signal::unix::{SignalKind, signal},
+};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+/// Callers keep an address answer for up to three times its validity.
+const VALIDITY_FACTOR: u32 = 3;
+/// Kept of the time until the process must have ended, to end by itself.
+const EXIT_MARGIN: Duration = Duration::from_millis(700);
+/// Time for the last connections to close.
+const CLOSE_MARGIN: Duration = Duration::from_millis(200);
+/// Bits of an incarnation that are random.
+const INCARNATION_RANDOM_BITS: u32 = 16;
+
+/// Runs a node until it is told to stop.
+pub(crate) fn run(settings: Settings) -> eyre::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(serve(settings))
+}
+
+fn listen(what: &str, address: std::net::SocketAddr) -> eyre::Result<TcpListener> {
+    socket::listen(address).wrap_err_with(|| format!("{what} address {address}"))
+}
+
+async fn serve(settings: Settings) -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut hangup = signal(SignalKind::hangup())?;
+    let callers = listen("callers'", settings.callers)?;
+    let ready = listen("readiness", settings.ready)?;
+    let directory = listen("directory", settings.directory)?;
+    let peers = listen("peers'", settings.peers)?;
+    let heartbeats = UdpSocket::bind(settings.peers).await.wrap_err("heartbeat socket")?;
+
+    let seed = std::hash::BuildHasher::hash_one(&std::hash::RandomState::new(), std::process::id());
+    let clock: Arc<dyn Clock> = Arc::new(Boot::new());
+    let random = seed & ((1 << INCARNATION_RANDOM_BITS) - 1);
+    let unix_ms = Anchored::new(clock.clone()).unix_ms();
+    let incarnation = id::Incarnation((unix_ms << INCARNATION_RANDOM_BITS) | random);
+    let source = Arc::new(Store::new(settings.platform));
+    let (grace, validity) = (settings.grace, settings.address_validity);
+    let node = Arc::new(Node::new(settings, Arc::new(Headers), source, clock, incarnation, seed));
+    log::info!("started as incarnation {incarnation}");
+
+    let cancel = CancellationToken::new();
+    let stop = CancellationToken::new();
+    let tasks = TaskTracker::new();
+    let others = TaskTracker::new();
+    tokio::spawn(fleet::run(node.clone(), heartbeats, cancel.clone()));
+    tokio::spawn(peer::serve(node.clone(), peers, cancel.clone()));
+    tokio::spawn(catalog::follow(node.clone(), cancel.clone()));
+    let start = |handler: Arc<dyn Handler>, listener, stop: &CancellationToken, tasks: &TaskTracker| {
+        let (stop, tasks) = (stop.clone(), tasks.clone());
+        tokio::spawn(front::serve(node.clone(), handler, listener, stop, tasks));
+    };
+    start(Arc::new(Relay(node.clone())), callers, &stop, &tasks);
+    start(Arc::new(Ready(node.clone())), ready, &cancel, &others);
+    start(Arc::new(Directory(node.clone())), directory, &cancel, &others);
+
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => log::info!("told that the settings changed; they are read at start"),
+        }
+    }
+    log::info!("stopping");
+    node.leave();
+    let deadline = tokio::time::Instant::now() + grace.saturating_sub(EXIT_MARGIN);
+    // Until no address answer that names this node is in use any more.
+    tokio::time::sleep((validity * VALIDITY_FACTOR).min(grace / 2)).await;
+    stop.cancel();
+    tasks.close();
+    if tokio::time::timeout_at(deadline, tasks.wait()).await.is_err() {
+        log::warn!("{} connections cut off by the limit on a planned stop", tasks.len());
+    }
+    cancel.cancel();
+    tokio::time::sleep(CLOSE_MARGIN).await;
+    log::info!("stopped");
+    Ok(())
+}
--- a/crates/base/src/clock.rs
+++ b/crates/base/src/clock.rs
@@ -22,6 +22,42 @@
     }
 }
 
+/// Clock that goes on while the VM is suspended, unlike the steady clock that timers use.
+///
+/// Deadlines and ages are judged by it, so that a request which was held through a suspension
+/// is seen to have expired.
+#[derive(Debug)]
+pub struct Boot {
+    origin: Instant,
+    origin_boot: Duration,
+}
+
+impl Boot {
+    /// Starts at the steady clock's current instant.
+    pub fn new() -> Boot {
+        Boot { origin: Instant::now(), origin_boot: boot_time() }
+    }
+}
+
+impl Default for Boot {
+    fn default() -> Boot {
+        Boot::new()
+    }
+}
+
+impl Clock for Boot {
+    fn now(&self) -> Instant {
+        self.origin + boot_time().saturating_sub(self.origin_boot)
+    }
+}
+
+fn boot_time() -> Duration {
+    // Fails only on kernels without this clock, which tokio does not run on either.
+    nix::time::clock_gettime(nix::time::ClockId::CLOCK_BOOTTIME)
+        .map(Duration::from)
+        .expect("the kernel has CLOCK_BOOTTIME")
+}
+
 /// Wall-clock time that advances with a monotonic clock.
 ///
 /// The system's wall clock is read once, at construction. Later corrections of the system
--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -91,6 +91,54 @@
     Caller, "caller";
 }
 
+/// Name of a set of interchangeable upstreams that requests are relayed to.
+///
+/// Unlike the product's own names, it is taken from outside as it is: any text without
+/// control characters, up to [`POOL_LIMIT`] bytes.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Pool(SmolStr);
+
+/// Longest name of a pool, in bytes.
+pub const POOL_LIMIT: usize = 200;
+
+impl Pool {
+    /// The name as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for Pool {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl FromStr for Pool {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Pool, Error> {
+        if text.is_empty() || text.len() > POOL_LIMIT || text.chars().any(char::is_control) {
+            let allowed = "1 to 200 bytes without control characters";
+            return Err(Error { kind: "pool", read: text.to_owned(), allowed });
+        }
+        Ok(Pool(SmolStr::new(text)))
+    }
+}
+
+/// Name that one process of an upstream has given itself. Says which process is meant when
+/// an address is used again.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Instance(pub SmolStr);
+
+impl fmt::Display for Instance {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
 numbers! {
     /// Index of a shard group within its service's map.
     Group(u16), "group";
--- a/crates/base/src/unit.rs
+++ b/crates/base/src/unit.rs
@@ -11,6 +11,8 @@
     Generation(u64), "generation";
     /// Version of a service's index; higher is newer.
     Version(u64), "version";
+    /// Place of a change in the platform's history; higher is later.
+    Revision(u64), "revision";
 }
 
 /// Share of a whole, from 0 to 1, kept in parts per million so that it compares exactly.
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod explain;
 pub mod field;
 pub mod questionnaire;
+pub mod relay;
 pub mod settings;
 
 mod ini;
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -219,7 +219,7 @@
     pub(crate) fn extras(&self) -> Extras {
         let notices = self.book.lock().notices(self.now(), NOTICES);
         let departures = self.departures.lock().notices(self.now(), DEPARTURES);
-        Extras { stamp: self.stamp(), notices, departures }
+        Extras { stamp: self.stamp(), notices, departures, ..Extras::default() }
     }
 
     pub(crate) fn stamp(&self) -> Stamp {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod membership;
 pub mod outcome;
 pub mod quarantine;
+pub mod relay;
 pub mod replica;
 pub mod routing;
 pub mod version;
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -12,11 +12,11 @@
     time::{Duration, Instant},
 };
 
-use base::{hash, hash::FastMap, id};
+use base::{hash, hash::FastMap, id, unit::Revision};
 use rand::{Rng, RngCore, seq::IndexedRandom, seq::SliceRandom};
 use serde::{Deserialize, Serialize};
 
-use crate::{adoption::Stamp, departure, quarantine::Notice};
+use crate::{adoption::Stamp, departure, quarantine::Notice, relay::accusation};
 
 /// Time between two probes.
 pub const PERIOD: Duration = Duration::from_millis(500);
@@ -30,6 +30,8 @@
 pub const RECORDS: usize = 8;
 /// Notices of quarantined fingerprints carried by one message.
 pub const NOTICES: usize = 8;
+/// Accusations carried by one message.
+pub const ACCUSATIONS: usize = 8;
 /// Leaving upstreams named by one message.
 pub const DEPARTURES: usize = 8;
 const INDIRECT: usize = 3;
@@ -116,6 +118,10 @@
     pub notices: Vec<Notice>,
     /// Upstreams that the platform lists as leaving.
     pub departures: Vec<departure::Notice>,
+    /// Last change in the platform's registry that the sender knows of.
+    pub revision: Revision,
+    /// Relayed requests that are accused of crashing upstreams.
+    pub accusations: Vec<accusation::Notice>,
 }
 
 /// A message to send.
@@ -136,6 +142,10 @@
     pub notices: Vec<Notice>,
     /// Upstreams that the platform lists as leaving.
     pub departures: Vec<departure::Notice>,
+    /// Last change in the platform's registry that the sender knows of.
+    pub revision: Revision,
+    /// Relayed requests that are accused of crashing upstreams.
+    pub accusations: Vec<accusation::Notice>,
 }
 
 #[derive(Debug)]
@@ -529,6 +539,7 @@
         records.extend(fresh);
         let notices = extras.notices.iter().copied().take(NOTICES).collect();
         let departures = extras.departures.iter().copied().take(DEPARTURES).collect();
+        let accusations = extras.accusations.iter().copied().take(ACCUSATIONS).collect();
         let digest = self.digest();
         let sender = self.own.clone();
         Out {
@@ -541,6 +552,8 @@
                 records,
                 notices,
                 departures,
+                revision: extras.revision,
+                accusations,
             },
         }
     }
--- /dev/null
+++ b/crates/policy/src/relay/job.rs
@@ -0,0 +1,280 @@
+//! One relayed request: when to send which attempt, and when to answer with what.
+//!
+//! Load answered: upstreams that pause or fall silent under a goal shorter than their pause.
+//! A second attempt leaves while the goal can still be met, and an answer that lacks a few
+//! pools leaves at the goal rather than whole and late, where the route allows it.
+
+use std::time::{Duration, Instant};
+
+use base::id;
+use rand::RngCore;
+
+use super::{
+    pool::{Choice, Pools, Seat},
+    upstream::End,
+};
+use crate::outcome::{Fate, Reason};
+
+/// Share of the goal after which a second attempt leaves. Flat between 0.3 and 0.6 in the
+/// queue model of docs/design/platform.md.
+const SECOND: f64 = 0.3;
+/// The same if the first upstream was known to be stuck when it was chosen.
+const SECOND_STUCK: f64 = 0.1;
+/// Kept of the goal for the way back to the caller and this node's own work.
+const MARGIN: f64 = 0.08;
+/// Kept of the time to the deadline, so that the last answer still arrives.
+const LAST: Duration = Duration::from_millis(8);
+/// Time between two looks for an upstream with room.
+const POLL: Duration = Duration::from_millis(10);
+
+/// What is to be done for a request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Plan {
+    /// Pools that one upstream each is asked of.
+    pub pools: Vec<id::Pool>,
+    /// Connections that each upstream of the pool accepts from all nodes.
+    pub connections: Vec<usize>,
+    /// Least number of pools whose replies make an answer.
+    pub floor: usize,
+    /// Upstreams of one pool that the request may be sent to.
+    pub attempts: usize,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// Time after arrival within which an answer is worth most.
+    pub goal: Duration,
+    /// When the request arrived here.
+    pub arrived: Instant,
+    /// No answer is of use from then on.
+    pub deadline: Instant,
+}
+
+/// An attempt to send.
+#[derive(Debug, Clone)]
+pub struct Send {
+    /// Index of the pool in the plan.
+    pub part: usize,
+    /// Where to.
+    pub choice: Choice,
+    /// Whether it is a second attempt.
+    pub extra: bool,
+}
+
+/// How a request ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// All pools have replied.
+    Whole,
+    /// Enough pools have replied; the others are left out.
+    Partial,
+    /// There is no answer.
+    Failed {
+        /// What is known of whether it ran.
+        fate: Fate,
+        /// Why.
+        reason: Reason,
+    },
+}
+
+#[derive(Debug, Default)]
+struct Part {
+    tried: Vec<Seat>,
+    open: usize,
+    replied: bool,
+    fate: Option<Fate>,
+    last_end: Option<End>,
+    second_at: Option<Instant>,
+    /// Nothing more can be done for it.
+    lost: bool,
+}
+
+/// State of one request.
+#[derive(Debug)]
+pub struct Job {
+    plan: Plan,
+    parts: Vec<Part>,
+    replied: usize,
+    lost: usize,
+}
+
+impl Job {
+    /// A request of which nothing was sent yet.
+    pub fn new(plan: Plan) -> Job {
+        let parts = plan.pools.iter().map(|_| Part::default()).collect();
+        Job { plan, parts, replied: 0, lost: 0 }
+    }
+
+    /// The plan.
+    pub fn plan(&self) -> &Plan {
+        &self.plan
+    }
+
+    /// Pools that have replied.
+    pub fn replied(&self) -> usize {
+        self.replied
+    }
+
+    /// Whether the pool at index `part` still needs a reply.
+    pub fn needs(&self, part: usize) -> bool {
+        !self.parts[part].replied
+    }
+
+    /// Attempts to send now. Each is counted as sent.
+    pub fn due(&mut self, now: Instant, pools: &mut Pools, rng: &mut dyn RngCore) -> Vec<Send> {
+        let mut out = Vec::new();
+        for index in 0..self.parts.len() {
+            if let Some(send) = self.due_part(now, index, pools, rng) {
+                out.push(send);
+            }
+        }
+        out
+    }
+
+    fn due_part(
+        &mut self,
+        now: Instant,
+        index: usize,
+        pools: &mut Pools,
+        rng: &mut dyn RngCore,
+    ) -> Option<Send> {
+        let Plan { attempts, repeatable, goal, .. } = self.plan;
+        let pool = &self.plan.pools[index];
+        let part = &mut self.parts[index];
+        if part.replied || part.lost {
+            return None;
+        }
+        let first = part.tried.is_empty();
+        let again = part.open == 0;
+        if !again {
+            let due = part.second_at.is_some_and(|at| at <= now);
+            if !due || !repeatable || part.tried.len() >= attempts {
+                return None;
+            }
+        }
+        let may_run_twice = repeatable || part.fate.is_none_or(|f| f == Fate::NotRun);
+        if again && (part.tried.len() >= attempts || !may_run_twice) {
+            self.lose(index);
+            return None;
+        }
+        if !first && !pools.has_other(now, pool, &part.tried) {
+            if again {
+                self.lose(index);
+            } else {
+                part.second_at = None;
+            }
+            return None;
+        }
+        let connections = self.plan.connections[index];
+        let Some(choice) = pools.choose(now, pool, &part.tried, connections, rng) else {
+            self.lose(index);
+            return None;
+        };
+        if first {
+            pools.earn(now, pool);
+        } else if !pools.spend(now, pool) {
+            if again {
+                self.lose(index);
+            } else {
+                part.second_at = Some(now + POLL);
+            }
+            return None;
+        }
+        pools.sent(now, choice.seat);
+        part.tried.push(choice.seat);
+        part.open += 1;
+        let share = if choice.stuck { SECOND_STUCK } else { SECOND };
+        part.second_at = first.then(|| now + goal.mul_f64(share));
+        Some(Send { part: index, choice, extra: !first })
+    }
+
+    fn lose(&mut self, index: usize) {
+        self.parts[index].lost = true;
+        self.lost += 1;
+    }
+
+    /// Records how an attempt for the pool at index `part` ended. Returns whether its reply is
+    /// to be used in the answer.
+    pub fn ended(&mut self, part: usize, end: End) -> bool {
+        let part = &mut self.parts[part];
+        part.open -= 1;
+        let fate = end.fate();
+        part.fate = Some(part.fate.map_or(fate, |f| f.and(fate)));
+        part.last_end = Some(end);
+        let used = end == End::Reply { success: true } && !part.replied;
+        if used {
+            part.replied = true;
+            self.replied += 1;
+        }
+        used
+    }
+
+    /// Whether the request is to be answered now, and how.
+    pub fn verdict(&self, now: Instant) -> Option<Verdict> {
+        let total = self.parts.len();
+        let enough = self.replied >= self.plan.floor;
+        if self.replied == total {
+            return Some(Verdict::Whole);
+        }
+        if total - self.lost < self.plan.floor {
+            return Some(self.failed());
+        }
+        if self.replied + self.lost == total {
+            return Some(Verdict::Partial);
+        }
+        if enough && now >= self.cut() {
+            return Some(Verdict::Partial);
+        }
+        if now + LAST >= self.plan.deadline {
+            return Some(if enough { Verdict::Partial } else { self.failed() });
+        }
+        None
+    }
+
+    fn failed(&self) -> Verdict {
+        let fate = self.fate();
+        let ends = || self.parts.iter().filter_map(|p| p.last_end);
+        let reason = if self.lost == 0 {
+            Reason::Deadline
+        } else if self.parts.iter().any(|p| p.lost && p.tried.is_empty()) {
+            Reason::Unreachable
+        } else if ends().any(|e| matches!(e, End::Reply { success: false })) {
+            Reason::Failed
+        } else if ends().any(|e| e == End::Lost) {
+            Reason::Lost
+        } else if ends().any(|e| e == End::Refused) {
+            Reason::Overload
+        } else {
+            Reason::Unreachable
+        };
+        Verdict::Failed { fate, reason }
+    }
+
+    /// What is known of whether any attempt ran.
+    pub fn fate(&self) -> Fate {
+        let of = |p: &Part| {
+            let open = if p.open > 0 { Fate::MayHaveRun } else { Fate::NotRun };
+            open.and(p.fate.unwrap_or(Fate::NotRun))
+        };
+        self.parts.iter().map(of).fold(Fate::NotRun, Fate::and)
+    }
+
+    /// When an answer that lacks pools is better than waiting on.
+    fn cut(&self) -> Instant {
+        self.plan.arrived + self.plan.goal.mul_f64(1.0 - MARGIN)
+    }
+
+    /// When to look again at the latest, if no attempt ends before.
+    pub fn wake(&self, now: Instant) -> Instant {
+        let mut wake = self.plan.deadline.checked_sub(LAST).unwrap_or(now);
+        let cut = self.cut();
+        if cut > now {
+            wake = wake.min(cut);
+        }
+        for part in self.parts.iter().filter(|p| !p.replied && !p.lost) {
+            let may = self.plan.repeatable && part.tried.len() < self.plan.attempts;
+            if let Some(at) = part.second_at.filter(|_| may) {
+                wake = wake.min(at);
+            }
+        }
+        wake
+    }
+}
--- /dev/null
+++ b/crates/policy/src/relay/upstream.rs
@@ -0,0 +1,191 @@
+//! What one node has seen of one upstream.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use super::registry::{Entry, Standing};
+use crate::outcome::Fate;
+
+/// Replies that the typical latency is taken from: their median, so that one pause of the
+/// upstream does not count and a slow upstream is known by its second reply.
+const SAMPLES: usize = 3;
+/// Age at which latencies no longer count: a slow upstream may have recovered.
+const SAMPLE_AGE: Duration = Duration::from_secs(4);
+/// Wait after a first failed connection; doubles with each further one.
+const BACKOFF: Duration = Duration::from_millis(250);
+/// Longest wait after failed connections.
+const BACKOFF_LIMIT: Duration = Duration::from_secs(2);
+/// Time for which an upstream that refused a request is asked last.
+const SHED_PAUSE: Duration = Duration::from_millis(150);
+/// Weight of the newest result in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.2;
+/// Age at which the share of failures is forgotten.
+const FAILURE_AGE: Duration = Duration::from_secs(5);
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// A whole reply; whether the upstream calls it a success.
+    Reply {
+        /// Whether it is a success.
+        success: bool,
+    },
+    /// The upstream says that it did not run the request.
+    Refused,
+    /// Another process has the address now; the request did not run.
+    Replaced,
+    /// Nothing of the request left this node.
+    Unreached,
+    /// It may have run: the connection ended or sent what is no reply to this request.
+    Lost,
+    /// It may have run: no reply came while anybody waited for one.
+    Silent,
+}
+
+impl End {
+    /// What is known of whether the request ran.
+    pub fn fate(self) -> Fate {
+        match self {
+            End::Reply { .. } => Fate::Ran,
+            End::Refused | End::Replaced | End::Unreached => Fate::NotRun,
+            End::Lost | End::Silent => Fate::MayHaveRun,
+        }
+    }
+}
+
+/// Observations of one upstream.
+#[derive(Debug)]
+pub struct Stats {
+    open: Vec<Instant>,
+    samples: [(Option<Instant>, Duration); SAMPLES],
+    next: usize,
+    failures: f64,
+    failed_at: Option<Instant>,
+    connect_failures: u32,
+    shed_until: Option<Instant>,
+    down_until: Option<Instant>,
+    replaced: bool,
+    cold_until: Instant,
+}
+
+impl Stats {
+    /// Without observations of the upstream registered by `entry`.
+    pub fn new(now: Instant, entry: &Entry) -> Stats {
+        Stats {
+            open: Vec::new(),
+            samples: [(None, Duration::ZERO); SAMPLES],
+            next: 0,
+            failures: 0.0,
+            failed_at: None,
+            connect_failures: 0,
+            shed_until: None,
+            down_until: None,
+            replaced: false,
+            cold_until: now + entry.cold,
+        }
+    }
+
+    /// Records that an attempt was sent.
+    pub fn sent(&mut self, now: Instant) {
+        self.open.push(now);
+    }
+
+    /// Records how the attempt sent at `sent` ended.
+    pub fn ended(&mut self, now: Instant, sent: Instant, end: End) {
+        if let Some(index) = self.open.iter().position(|at| *at == sent) {
+            self.open.swap_remove(index);
+        }
+        match end {
+            End::Reply { success } => {
+                self.connect_failures = 0;
+                self.down_until = None;
+                self.sample(now, now.saturating_duration_since(sent));
+                self.judge(now, !success);
+            }
+            End::Refused => self.shed_until = Some(now + SHED_PAUSE),
+            End::Replaced => self.replaced = true,
+            End::Unreached => self.back_off(now),
+            End::Lost => self.judge(now, true),
+            End::Silent => self.sample(now, now.saturating_duration_since(sent)),
+        }
+    }
+
+    fn sample(&mut self, now: Instant, latency: Duration) {
+        self.samples[self.next] = (Some(now), latency);
+        self.next = (self.next + 1) % SAMPLES;
+    }
+
+    fn judge(&mut self, now: Instant, failed: bool) {
+        let newest = if failed { 1.0 } else { 0.0 };
+        self.failures += FAILURE_WEIGHT * (newest - self.failures);
+        if failed {
+            self.failed_at = Some(now);
+        }
+    }
+
+    fn back_off(&mut self, now: Instant) {
+        let pause = BACKOFF * 2u32.pow(self.connect_failures.min(8));
+        self.connect_failures += 1;
+        self.down_until = Some(now + pause.min(BACKOFF_LIMIT));
+    }
+
+    /// Attempts in flight.
+    pub fn in_flight(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Age of the oldest attempt in flight.
+    pub fn oldest(&self, now: Instant) -> Duration {
+        let ages = self.open.iter().map(|at| now.saturating_duration_since(*at));
+        ages.max().unwrap_or_default()
+    }
+
+    /// Median of the newest latencies; `None` without recent ones.
+    pub fn typical(&self, now: Instant) -> Option<Duration> {
+        let recent = |(at, latency): &(Option<Instant>, Duration)| {
+            at.filter(|at| now.saturating_duration_since(*at) < SAMPLE_AGE).map(|_| *latency)
+        };
+        let mut latencies: Vec<Duration> = self.samples.iter().filter_map(recent).collect();
+        latencies.sort_unstable();
+        latencies.get(latencies.len().checked_sub(1)? / 2).copied()
+    }
+
+    /// Share of attempts that failed lately, from 0 to 1.
+    pub fn failures(&self, now: Instant) -> f64 {
+        let recent = |at: Instant| now.saturating_duration_since(at) < FAILURE_AGE;
+        if self.failed_at.is_some_and(recent) { self.failures } else { 0.0 }
+    }
+
+    /// Whether its connections have failed just now.
+    pub fn is_down(&self, now: Instant) -> bool {
+        self.replaced || self.down_until.is_some_and(|until| now < until)
+    }
+
+    /// Whether it has refused a request just now.
+    pub fn is_shedding(&self, now: Instant) -> bool {
+        self.shed_until.is_some_and(|until| now < until)
+    }
+
+    /// Whether it has started a moment ago and is slow for it.
+    pub fn is_cold(&self, now: Instant) -> bool {
+        now < self.cold_until
+    }
+
+    /// Whether its address is known to be another upstream's by now.
+    pub fn is_replaced(&self) -> bool {
+        self.replaced
+    }
+}
+
+/// A registered upstream with what this node has seen of it.
+#[derive(Debug)]
+pub struct Upstream {
+    /// As registered.
+    pub entry: Arc<Entry>,
+    /// How it may be used.
+    pub standing: Standing,
+    /// Observations.
+    pub stats: Stats,
+}
--- /dev/null
+++ b/crates/relay/src/catalog.rs
@@ -0,0 +1,188 @@
+//! Follows the platform's service: configuration and registered upstreams.
+//!
+//! Each node follows it itself. What one node learns it announces by its heartbeats; a node
+//! that the platform turns away, or whose watch has fallen silent, asks such a peer.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use base::id;
+use policy::relay::registry::{Change, Event};
+use tokio_util::sync::CancellationToken;
+use wire::feed;
+
+use crate::{
+    edge::{Changes, Published, SourceError},
+    fleet,
+    node::Node,
+    peer,
+};
+
+/// Longest wait of one watch. Each call has its price; a watch that has fallen silent is
+/// noticed by heartbeats of peers and by keep-alive probes.
+const WATCH: Duration = Duration::from_secs(10);
+/// Wait after a failed call; doubles with each further one.
+const RETRY: Duration = Duration::from_millis(200);
+/// Longest wait after failed calls: entries that lapsed with the service are back within 2 s
+/// of its return, and must be seen to be.
+const RETRY_LIMIT: Duration = Duration::from_millis(1_000);
+/// Time for which a node waits for its own watch to tell what a peer knows already.
+const PEER_DELAY: Duration = Duration::from_millis(250);
+
+/// Follows the platform's service until `cancel`.
+pub async fn follow(node: Arc<Node>, cancel: CancellationToken) {
+    let mut failures = 0;
+    let mut whole = true;
+    while !cancel.is_cancelled() {
+        let result = tokio::select! {
+            biased;
+            () = cancel.cancelled() => return,
+            () = node.look.notified(), if !whole => continue,
+            result = look(&node, whole) => result,
+        };
+        match result {
+            Ok(()) => {
+                if failures > 0 {
+                    log::info!("platform is back after {failures} failed calls");
+                }
+                failures = 0;
+                whole = false;
+            }
+            Err(SourceError::Compacted) => whole = true,
+            Err(e) => {
+                if failures == 0 {
+                    log::warn!("platform is away: {e}");
+                }
+                failures += 1;
+                let pause = RETRY * 2u32.pow(failures.min(4) - 1);
+                let jitter = 0.75 + 0.5 * (node.random() as f64 / u64::MAX as f64);
+                tokio::time::sleep(pause.min(RETRY_LIMIT).mul_f64(jitter)).await;
+            }
+        }
+    }
+}
+
+async fn look(node: &Arc<Node>, whole: bool) -> Result<(), SourceError> {
+    if whole {
+        let changes = node.source.read().await?;
+        learn(node, changes, true);
+        return Ok(());
+    }
+    let after = node.registry.lock().revision();
+    let changes = node.source.watch(after, WATCH).await?;
+    learn(node, changes, false);
+    Ok(())
+}
+
+/// Takes in what the platform or a peer says. `whole` says that it is all there is.
+pub(crate) fn learn(node: &Arc<Node>, changes: Changes, whole: bool) {
+    let now = node.now();
+    let adopted = changes.config.is_some_and(|config| adopt(node, config));
+    let news = {
+        let mut registry = node.registry.lock();
+        match whole {
+            true => registry.replace(now, changes.upstreams, changes.until),
+            false => registry.apply(now, changes.upstreams, changes.until),
+        }
+    };
+    if whole && !node.informed.swap(true, Ordering::Relaxed) {
+        log::info!("registry of upstreams known at revision {}", changes.until);
+    }
+    news.iter().for_each(report);
+    refresh(node);
+    if adopted || !news.is_empty() {
+        fleet::spread_news(node);
+    }
+}
+
+/// Lets the pools follow the registry; to be called several times a second.
+pub(crate) fn refresh(node: &Node) {
+    let now = node.now();
+    let gone = {
+        let mut registry = node.registry.lock();
+        registry.tick(now);
+        node.pools.lock().sync(now, &registry)
+    };
+    if !gone.is_empty() {
+        node.links.forget(&gone);
+    }
+}
+
+fn report(event: &Event) {
+    let Event { key, revision, change } = event;
+    match change {
+        Change::Put(e) => log::info!(
+            "upstream {} of {} at {}: draining {} (revision {revision})",
+            e.instance,
+            e.pool,
+            e.address,
+            e.draining
+        ),
+        Change::Unusable => log::warn!("registry entry {key} names no upstream"),
+        Change::Removed => log::info!("registry entry {key} has gone (revision {revision})"),
+    }
+}
+
+fn adopt(node: &Node, config: Published) -> bool {
+    let table = match node.source.parse(&config.bytes) {
+        Ok(table) => table,
+        Err(e) => {
+            log::error!("configuration at revision {} is not usable: {e}", config.revision);
+            return false;
+        }
+    };
+    if node.table.load().as_ref().is_some_and(|t| t.generation >= table.generation) {
+        return false;
+    }
+    log::info!("configuration {} in force, {} routes", table.generation, table.len());
+    node.splitter.lock().retain(&table);
+    node.table.store(Some(Arc::new(table)));
+    node.published.store(Some(Arc::new(config)));
+    true
+}
+
+/// Whether a peer that announces `generation` and `revision` knows more than this node.
+fn is_behind(node: &Node, said: &fleet::Said) -> bool {
+    said.generation > node.generation() || said.revision > node.registry.lock().revision()
+}
+
+/// Asks `peer` for what it knows beyond this node, unless the node's own watch tells it first.
+pub(crate) async fn catch_up(node: Arc<Node>, from: id::Node, said: fleet::Said) {
+    if node.informed.load(Ordering::Relaxed) {
+        tokio::time::sleep(PEER_DELAY).await;
+    }
+    if !is_behind(&node, &said) {
+        return;
+    }
+    let after = node.registry.lock().revision();
+    match peer::news(&node, from, node.generation(), after).await {
+        Ok(feed::News { config, events, whole, until }) => {
+            log::info!("{} changes up to revision {until} from peer {from}", events.len());
+            let config =
+                config.map(|c| Published { revision: c.revision, bytes: c.bytes });
+            learn(&node, Changes { config, upstreams: events, until }, whole);
+            // Its own watch may have fallen silent.
+            node.look.notify_one();
+        }
+        Err(e) => log::warn!("peer {from} did not tell its news: {e}"),
+    }
+}
+
+/// What this node knows beyond `have` and `after`.
+pub(crate) fn news(
+    node: &Node,
+    have: base::unit::Generation,
+    after: base::unit::Revision,
+) -> feed::News {
+    let published = node.published.load_full().filter(|_| node.generation() > have);
+    let config = published
+        .map(|p| feed::Config { revision: p.revision, bytes: p.bytes.clone() });
+    let registry = node.registry.lock();
+    let (events, whole) = match registry.since(after).filter(|_| after.0 > 0) {
+        Some(events) => (events, false),
+        None => (registry.all(), true),
+    };
+    feed::News { config, events, whole, until: registry.revision() }
+}
--- /dev/null
+++ b/crates/relay/src/connection.rs
@@ -0,0 +1,281 @@
+//! Connections to upstreams: a bounded pool for each.
+//!
+//! The connections are hyper's low-level ones: nothing below this module sends a request a
+//! second time.
+
+use std::{
+    collections::VecDeque,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use base::hash::FastMap;
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
+use policy::relay::{pool::Seat, upstream::End};
+use tokio::sync::Notify;
+
+use crate::{
+    edge::{Codec, Reply, ReplyKind},
+    node::Node,
+    socket,
+};
+
+/// Time to connect; many times the way to any upstream of a region.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Largest reply, in bytes: bounds memory, many times an ordinary reply.
+const REPLY_LIMIT: usize = 8 << 20;
+/// Time for which a connection is kept idle if the upstream does not say for how long.
+const IDLE: Duration = Duration::from_secs(20);
+/// Kept of the time for which the upstream keeps an idle connection, for requests on the way.
+const IDLE_MARGIN: f64 = 0.7;
+/// A request that may run only once goes on a connection that was used within this time, or on
+/// a new one: an upstream may have dropped an older one without notice.
+const FRESH: Duration = Duration::from_millis(400);
+
+type Sender = SendRequest<Full<Bytes>>;
+
+#[derive(Debug)]
+struct Idle {
+    sender: Sender,
+    since: Instant,
+    until: Instant,
+}
+
+/// Connections to one upstream.
+#[derive(Debug, Default)]
+pub struct Links {
+    state: Mutex<State>,
+    returned: Notify,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    idle: VecDeque<Idle>,
+    open: usize,
+}
+
+/// Connections to all upstreams.
+#[derive(Debug, Default)]
+pub struct Book {
+    links: Mutex<FastMap<Seat, Arc<Links>>>,
+}
+
+impl Book {
+    /// Without connections.
+    pub fn new() -> Book {
+        Book::default()
+    }
+
+    /// Connections to the upstream at `seat`.
+    pub fn links(&self, seat: Seat) -> Arc<Links> {
+        self.links.lock().entry(seat).or_default().clone()
+    }
+
+    /// Drops the connections to upstreams that are gone, once they are idle.
+    pub fn forget(&self, seats: &[Seat]) {
+        let mut links = self.links.lock();
+        for seat in seats {
+            if let Some(links) = links.remove(seat) {
+                links.state.lock().idle.clear();
+            }
+        }
+    }
+
+    /// Drops connections that have been idle for too long or were closed.
+    pub fn expire(&self, now: Instant) {
+        for links in self.links.lock().values() {
+            links.state.lock().idle.retain(|i| i.until > now && !i.sender.is_closed());
+        }
+    }
+
+    /// Connections held.
+    pub fn len(&self) -> usize {
+        self.links.lock().values().map(|l| l.state.lock().open).sum()
+    }
+
+    /// Whether no connection is held.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+/// Counts a connection until it is closed.
+struct Place(Arc<Links>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.state.lock().open -= 1;
+        self.0.returned.notify_one();
+    }
+}
+
+/// A reply with its body.
+#[derive(Debug)]
+pub struct Received {
+    /// What the head says.
+    pub reply: Reply,
+    /// The reply as it came.
+    pub response: Response<Bytes>,
+}
+
+/// How an attempt ended, with its reply if one came whole.
+#[derive(Debug)]
+pub struct Ended {
+    /// How it ended.
+    pub end: End,
+    /// The reply.
+    pub received: Option<Received>,
+}
+
+impl Ended {
+    fn without(end: End) -> Ended {
+        Ended { end, received: None }
+    }
+}
+
+/// An attempt's message and how it may be sent.
+#[derive(Debug)]
+pub struct Message {
+    /// The head and body; the time left is set when it is sent.
+    pub request: Request<Full<Bytes>>,
+    /// The caller's id of the request.
+    pub id: http::HeaderValue,
+    /// The process that is meant.
+    pub instance: base::id::Instance,
+    /// Not to be sent from then on.
+    pub deadline: Instant,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+}
+
+impl Links {
+    /// Sends `message` once. Dropping the future closes the connection that it is on.
+    pub async fn send(
+        self: Arc<Links>,
+        node: Arc<Node>,
+        address: std::net::SocketAddr,
+        limit: usize,
+        message: Message,
+    ) -> Ended {
+        let left = message.deadline.saturating_duration_since(node.now());
+        let opened = self.open(&node, address, limit, message.repeatable);
+        let Ok(Some(mut sender)) = tokio::time::timeout(left, opened).await else {
+            return Ended::without(End::Unreached);
+        };
+        let now = node.now();
+        // Looked at again here: the process may have been suspended since the decision to send.
+        let left = message.deadline.saturating_duration_since(now);
+        if left.is_zero() {
+            self.put_back(sender, now, None);
+            return Ended::without(End::Unreached);
+        }
+        let Message { mut request, id, instance, .. } = message;
+        node.codec.write_attempt(request.headers_mut(), &instance, left);
+        let response = match sender.try_send_request(request).await {
+            Ok(response) => response,
+            // hyper hands the message back only if it has written nothing of it.
+            Err(mut e) => {
+                let unsent = e.take_message().is_some();
+                return Ended::without(if unsent { End::Unreached } else { End::Lost });
+            }
+        };
+        self.receive(&node, node.codec.as_ref(), sender, &id, response).await
+    }
+
+    async fn receive(
+        &self,
+        node: &Node,
+        codec: &dyn Codec,
+        mut sender: Sender,
+        id: &http::HeaderValue,
+        response: Response<Incoming>,
+    ) -> Ended {
+        let (head, body) = response.into_parts();
+        let reply = codec.read_reply(id, &head);
+        if reply.foreign {
+            // What follows on this connection belongs to no request.
+            return Ended::without(End::Lost);
+        }
+        let Ok(body) = Limited::new(body, REPLY_LIMIT).collect().await else {
+            return Ended::without(End::Lost);
+        };
+        if sender.ready().await.is_ok() {
+            self.put_back(sender, node.now(), reply.keep_alive);
+        }
+        let end = match reply.kind {
+            ReplyKind::Ran => End::Reply { success: head.status.is_success() },
+            ReplyKind::Refused => End::Refused,
+            ReplyKind::Replaced => End::Replaced,
+        };
+        let response = Response::from_parts(head, body.to_bytes());
+        Ended { end, received: Some(Received { reply, response }) }
+    }
+
+    async fn open(
+        self: &Arc<Links>,
+        node: &Node,
+        address: std::net::SocketAddr,
+        limit: usize,
+        repeatable: bool,
+    ) -> Option<Sender> {
+        loop {
+            let returned = self.returned.notified();
+            while let Some(mut sender) = self.take(node.now(), repeatable) {
+                if sender.ready().await.is_ok() {
+                    return Some(sender);
+                }
+            }
+            if let Some(place) = self.place(limit) {
+                return connect(address, place).await;
+            }
+            returned.await;
+        }
+    }
+
+    fn take(&self, now: Instant, repeatable: bool) -> Option<Sender> {
+        let mut state = self.state.lock();
+        loop {
+            // The one used last, so that the others may run out.
+            let idle = state.idle.pop_back()?;
+            if idle.until <= now || idle.sender.is_closed() {
+                continue;
+            }
+            let fresh = repeatable || now.saturating_duration_since(idle.since) < FRESH;
+            return fresh.then_some(idle.sender);
+        }
+    }
+
+    fn place(self: &Arc<Links>, limit: usize) -> Option<Place> {
+        let mut state = self.state.lock();
+        if state.open >= limit {
+            return None;
+        }
+        state.open += 1;
+        Some(Place(self.clone()))
+    }
+
+    fn put_back(&self, sender: Sender, now: Instant, keep_alive: Option<Duration>) {
+        let until = now + keep_alive.map_or(IDLE, |k| k.mul_f64(IDLE_MARGIN));
+        self.state.lock().idle.push_back(Idle { sender, since: now, until });
+        self.returned.notify_one();
+    }
+}
+
+async fn connect(address: std::net::SocketAddr, place: Place) -> Option<Sender> {
+    let stream = socket::connect(address, CONNECT_TIMEOUT).await.ok()?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(async move {
+        // Its errors reach the requests that used it.
+        let _ = connection.await;
+        drop(place);
+    });
+    Some(sender)
+}
--- /dev/null
+++ b/crates/relay/src/fleet.rs
@@ -0,0 +1,206 @@
+//! Membership of the fleet by heartbeats, and what nodes tell each other along with them.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use base::{
+    id,
+    unit::{Generation, Revision},
+};
+use policy::{
+    adoption::Stamp,
+    membership::{ACCUSATIONS, Extras, Out, Record, Status},
+};
+use tokio::net::UdpSocket;
+use tokio_util::sync::CancellationToken;
+use wire::heartbeat;
+
+use crate::{catalog, node::Node, peer};
+
+/// Time between two ticks.
+const TICK: Duration = Duration::from_millis(100);
+/// Addresses in one answer.
+const ADDRESSES: usize = 64;
+/// Least number of nodes in one answer before nodes of other failure domains are added.
+const NEAR: usize = 2;
+
+/// What a peer's heartbeat says of the platform's service.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Said {
+    pub(crate) generation: Generation,
+    pub(crate) revision: Revision,
+}
+
+/// Sends and receives heartbeats until `cancel`.
+pub async fn run(node: Arc<Node>, socket: UdpSocket, cancel: CancellationToken) {
+    let socket = Arc::new(socket);
+    node.outbox.store(Some(socket.clone()));
+    let mut buffer = vec![0; heartbeat::SIZE_LIMIT + 1];
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            biased;
+            () = cancel.cancelled() => return,
+            _ = ticks.tick() => tick(&node),
+            received = socket.recv_from(&mut buffer) => match received {
+                Ok((size, _)) => receive(&node, &buffer[..size]),
+                // A port that was closed at the other end shows here; nothing was lost by it.
+                Err(e) => log::debug!("heartbeat socket: {e}"),
+            },
+        }
+    }
+}
+
+fn tick(node: &Arc<Node>) {
+    let extras = extras(node);
+    let ready = node.is_ready();
+    let (out, divergent) = {
+        let mut fleet = node.fleet.lock();
+        let pauses = fleet.pauses();
+        let mut out = Vec::new();
+        if ready != fleet.own().serving {
+            let change = node.with_rng(|rng| match ready {
+                true => fleet.join(&extras, rng),
+                false => fleet.leave(&extras, rng),
+            });
+            out.extend(change);
+        }
+        out.extend(node.with_rng(|rng| fleet.tick(node.now(), &extras, rng)));
+        if fleet.pauses() > pauses {
+            log::warn!("this process was suspended");
+            node.look.notify_one();
+        }
+        refresh_view(node, &fleet);
+        (out, fleet.is_divergent())
+    };
+    send(node, out);
+    catalog::refresh(node);
+    node.links.expire(node.now());
+    if divergent {
+        tokio::spawn(fetch_members(node.clone()));
+    }
+}
+
+fn receive(node: &Arc<Node>, bytes: &[u8]) {
+    let message = match heartbeat::decode(&node.settings.deployment, bytes) {
+        Ok(message) => message,
+        Err(e) => {
+            log::warn!("heartbeat refused: {e}");
+            return;
+        }
+    };
+    let accused = {
+        let now = node.now();
+        let mut book = node.accusations.lock();
+        // Every accusation is to be learned, so no short circuit.
+        message.accusations.iter().filter(|a| book.learn(now, **a)).count() > 0
+    };
+    let extras = extras(node);
+    let out = {
+        let mut fleet = node.fleet.lock();
+        let out = fleet.receive(node.now(), &message, &extras);
+        refresh_view(node, &fleet);
+        out
+    };
+    send(node, out);
+    if accused {
+        spread_news(node);
+    }
+    let said = Said { generation: message.stamp.generation, revision: message.revision };
+    let known = node.registry.lock().revision();
+    let behind = said.generation > node.generation() || said.revision > known;
+    if behind && !node.catching_up.swap(true, Ordering::Relaxed) {
+        let (node, from) = (node.clone(), message.sender.node);
+        tokio::spawn(async move {
+            catalog::catch_up(node.clone(), from, said).await;
+            node.catching_up.store(false, Ordering::Relaxed);
+        });
+    }
+}
+
+fn extras(node: &Node) -> Extras {
+    let stamp = Stamp { generation: node.generation(), digest: 0 };
+    let revision = node.registry.lock().last_change();
+    let accusations = {
+        let book = node.accusations.lock();
+        if book.is_empty() { Vec::new() } else { book.notices(node.now(), ACCUSATIONS) }
+    };
+    Extras { stamp, revision, accusations, ..Extras::default() }
+}
+
+/// Called with the lock on the fleet held, so that views are stored in order.
+fn refresh_view(node: &Node, fleet: &policy::membership::Fleet) {
+    let version = fleet.version() as usize;
+    if node.view_version.swap(version, Ordering::AcqRel) == version {
+        return;
+    }
+    let mut records: Vec<Record> = fleet.records().cloned().collect();
+    records.sort_unstable_by_key(|r| r.node);
+    // Dead ones count: a process may come back on their VM at any moment.
+    let nodes = (!records.is_empty()).then_some(records.len() + 1);
+    node.pools.lock().set_nodes(nodes);
+    node.view.store(Arc::new(records));
+}
+
+/// Tells some nodes at once of what this node has learned.
+pub(crate) fn spread_news(node: &Node) {
+    let extras = extras(node);
+    let out = node.with_rng(|rng| node.fleet.lock().spread_news(&extras, rng));
+    send(node, out);
+}
+
+fn send(node: &Node, out: Vec<Out>) {
+    let Some(socket) = node.outbox.load_full() else { return };
+    for Out { to, message } in out {
+        match heartbeat::encode(&node.settings.deployment, &message) {
+            // A full buffer loses the datagram, as the network may.
+            Ok(bytes) => drop(socket.try_send_to(&bytes, to.0)),
+            Err(e) => log::error!("heartbeat to {to} not sent: {e}"),
+        }
+    }
+}
+
+async fn fetch_members(node: Arc<Node>) {
+    let view = node.view.load_full();
+    let alive: Vec<id::Node> =
+        view.iter().filter(|r| r.status == Status::Alive).map(|r| r.node).collect();
+    if alive.is_empty() {
+        return;
+    }
+    let from = alive[node.random() as usize % alive.len()];
+    match peer::members(&node, from).await {
+        Ok(records) => {
+            let mut fleet = node.fleet.lock();
+            fleet.merge_all(node.now(), &records);
+            refresh_view(&node, &fleet);
+        }
+        Err(e) => log::debug!("peer {from} did not tell the members: {e}"),
+    }
+}
+
+/// Addresses of nodes for a caller in the failure domain `domain`.
+///
+/// Nodes of that domain; where it has fewer than two, all. Empty if the node knows no node
+/// that serves.
+pub fn addresses(node: &Node, domain: &str) -> Vec<SocketAddr> {
+    let view = node.view.load();
+    let serving = |r: &&Record| r.status == Status::Alive && r.serving;
+    let mut nodes: Vec<(bool, SocketAddr)> =
+        view.iter().filter(serving).map(|r| (r.domain.as_str() == domain, r.callers)).collect();
+    if node.is_ready() {
+        let near = node.settings.domain.as_str() == domain;
+        nodes.push((near, node.settings.callers));
+    }
+    let near = nodes.iter().filter(|(near, _)| *near).count();
+    if near >= NEAR {
+        nodes.retain(|(near, _)| *near);
+    }
+    nodes.sort_unstable();
+    let start = if nodes.is_empty() { 0 } else { node.random() as usize % nodes.len() };
+    nodes.rotate_left(start);
+    nodes.into_iter().map(|(_, address)| address).take(ADDRESSES).collect()
+}
--- /dev/null
+++ b/crates/relay/src/forward.rs
@@ -0,0 +1,368 @@
+//! Serves one request: sends the attempts that its job asks for, and answers.
+
+use std::{
+    hash::Hasher,
+    sync::{Arc, atomic::Ordering},
+    time::{Duration, Instant},
+};
+
+use base::id;
+use bytes::Bytes;
+use futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
+use http::{HeaderValue, Request, Response, StatusCode, header, request};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use policy::{
+    outcome::{Fate, Reason},
+    relay::{
+        accusation,
+        job::{Job, Plan, Send, Verdict},
+        merge,
+        pool::Seat,
+        route::{Route, Table, Target},
+        upstream::End,
+    },
+};
+
+use crate::{
+    answer::{self, Body},
+    connection::{Ended, Message, Received},
+    fleet,
+    node::Node,
+};
+
+/// Longest sleep of a request, so that it sees soon that the VM was suspended.
+const LONGEST_SLEEP: Duration = Duration::from_millis(500);
+/// Time for which attempts that are no longer needed may still end, so that their connections
+/// can be used again.
+const LEFTOVER: Duration = Duration::from_millis(1_000);
+/// Time after which a caller may come back where the cause passes within moments.
+const RETRY_SOON: Duration = Duration::from_millis(100);
+/// Time after which a caller may come back when a pool has no upstream.
+const RETRY_OUTAGE: Duration = Duration::from_millis(1_000);
+/// Time after which a caller may come back to a node that has just started.
+const RETRY_STARTING: Duration = Duration::from_millis(300);
+
+/// An attempt's end with what it was for.
+struct Done {
+    part: usize,
+    ended: Ended,
+}
+
+type Attempts = FuturesUnordered<BoxFuture<'static, Done>>;
+
+/// Counts a request while it is served.
+struct Serving(Arc<Node>);
+
+impl Drop for Serving {
+    fn drop(&mut self) {
+        self.0.serving.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Answers a caller's request.
+pub async fn serve(node: Arc<Node>, request: Request<Incoming>) -> Response<Body> {
+    let arrived = node.now();
+    let (head, body) = request.into_parts();
+    let others = node.serving.fetch_add(1, Ordering::Relaxed);
+    let _serving = Serving(node.clone());
+    if others >= node.settings.requests {
+        return answer::failed(Fate::NotRun, Reason::Overload, Some(RETRY_SOON));
+    }
+    let Some(table) = node.table() else {
+        return answer::failed(Fate::NotRun, Reason::NotReady, Some(RETRY_STARTING));
+    };
+    let host = host(&head);
+    let Some(route) = table.find(&host, head.uri.path()).cloned() else {
+        return answer::plain(StatusCode::NOT_FOUND, "no route for this host and path");
+    };
+    let caller = match node.codec.read_request(&head) {
+        Ok(caller) => caller,
+        Err(e) => return answer::plain(StatusCode::BAD_REQUEST, e.0),
+    };
+    let patience = caller.patience.unwrap_or(route.timeout).min(route.timeout);
+    let deadline = arrived + patience;
+    let body = match tokio::time::timeout(patience, read_body(body, table.limits.body)).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(status)) => return answer::plain(status, "the body is too large or was broken off"),
+        Err(_) => return answer::plain(StatusCode::REQUEST_TIMEOUT, "the body did not come in time"),
+    };
+    let fingerprint = fingerprint(&host, &head, &body);
+    if node.accusations.lock().is_guilty(arrived, fingerprint) {
+        let reason = Reason::Quarantined;
+        return answer::failed(Fate::NotRun, reason, Some(accusation::EXPIRY));
+    }
+    let Some(job) = plan(&node, &table, &route, arrived, deadline) else {
+        return answer::failed(Fate::NotRun, Reason::Unreachable, Some(RETRY_OUTAGE));
+    };
+    let work = Work {
+        template: template(&head),
+        id: caller.request,
+        body,
+        fingerprint,
+        arrival: node.random() as u32,
+        route,
+        node,
+    };
+    work.run(job).await
+}
+
+fn host(head: &request::Parts) -> String {
+    let named = head.headers.get(header::HOST).and_then(|h| h.to_str().ok());
+    let host = named.or(head.uri.host()).unwrap_or_default();
+    // A port does not select a route.
+    let name = host.rsplit_once(':').map_or(host, |(name, port)| {
+        if port.bytes().all(|b| b.is_ascii_digit()) { name } else { host }
+    });
+    name.to_ascii_lowercase()
+}
+
+async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, StatusCode> {
+    if hyper::body::Body::is_end_stream(&body) {
+        return Ok(Bytes::new());
+    }
+    match Limited::new(body, limit).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(e) if e.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
+        Err(_) => Err(StatusCode::BAD_REQUEST),
+    }
+}
+
+/// Identifies a request that comes again, whatever its id.
+fn fingerprint(host: &str, head: &request::Parts, body: &Bytes) -> u64 {
+    let mut hasher = std::hash::DefaultHasher::new();
+    hasher.write(host.as_bytes());
+    hasher.write(head.method.as_str().as_bytes());
+    hasher.write(head.uri.path_and_query().map_or("", |p| p.as_str()).as_bytes());
+    hasher.write(body);
+    hasher.finish()
+}
+
+/// The head of every attempt: the caller's, without what concerns its connection only.
+fn template(head: &request::Parts) -> request::Parts {
+    let mut request = Request::new(());
+    *request.method_mut() = head.method.clone();
+    if let Some(target) = head.uri.path_and_query() {
+        *request.uri_mut() = target.clone().into();
+    }
+    let mut headers = head.headers.clone();
+    answer::strip_hop(&mut headers);
+    headers.remove(header::CONTENT_LENGTH);
+    headers.remove(header::EXPECT);
+    *request.headers_mut() = headers;
+    request.into_parts().0
+}
+
+fn plan(
+    node: &Node,
+    table: &Table,
+    route: &Route,
+    arrived: Instant,
+    deadline: Instant,
+) -> Option<Job> {
+    let (pools, floor) = match &route.target {
+        Target::One(among) => (vec![node.splitter.lock().next(&route.name, among)?], 1),
+        Target::Each { pools, floor, .. } => (pools.clone(), *floor),
+    };
+    let limit = |p: &id::Pool| table.connections.get(p).copied().unwrap_or(usize::MAX);
+    let connections = pools.iter().map(limit).collect();
+    Some(Job::new(Plan {
+        pools,
+        connections,
+        floor,
+        attempts: route.attempts,
+        repeatable: route.repeatable,
+        goal: route.goal,
+        arrived,
+        deadline,
+    }))
+}
+
+/// A request being served.
+struct Work {
+    node: Arc<Node>,
+    route: Arc<Route>,
+    template: request::Parts,
+    id: HeaderValue,
+    body: Bytes,
+    fingerprint: u64,
+    arrival: u32,
+}
+
+impl Work {
+    async fn run(&self, mut job: Job) -> Response<Body> {
+        let node = &self.node;
+        let mut attempts = Attempts::new();
+        let mut parts: Vec<Received> = Vec::new();
+        let mut refusal = None;
+        let verdict = loop {
+            let now = node.now();
+            if let Some(verdict) = job.verdict(now) {
+                break verdict;
+            }
+            let due = node.with_rng(|rng| job.due(now, &mut node.pools.lock(), rng));
+            for send in due {
+                attempts.push(self.attempt(now, send, job.plan().deadline));
+            }
+            if let Some(verdict) = job.verdict(now) {
+                break verdict;
+            }
+            let wake = job.wake(now).saturating_duration_since(now).min(LONGEST_SLEEP);
+            tokio::select! {
+                biased;
+                Some(done) = attempts.next(), if !attempts.is_empty() => {
+                    let mut next = Some(done);
+                    while let Some(done) = next.take() {
+                        self.take(&mut job, done, &mut parts, &mut refusal);
+                        next = futures::FutureExt::now_or_never(attempts.next()).flatten();
+                    }
+                }
+                () = tokio::time::sleep(wake) => {}
+            }
+        };
+        if !attempts.is_empty() {
+            tokio::spawn(finish(attempts));
+        }
+        self.answer(&job, verdict, parts, refusal)
+    }
+
+    fn take(
+        &self,
+        job: &mut Job,
+        done: Done,
+        parts: &mut Vec<Received>,
+        refusal: &mut Option<Received>,
+    ) {
+        let Done { part, ended } = done;
+        let mut end = ended.end;
+        let whole = ended.received.as_ref().is_some_and(|r| r.reply.proof.is_some());
+        if end == (End::Reply { success: true }) && !whole {
+            // Without a signature it is not the upstream's.
+            end = End::Lost;
+        }
+        if end == End::Lost {
+            self.accuse();
+        }
+        let used = job.ended(part, end);
+        match ended.received {
+            Some(received) if used => parts.push(received),
+            Some(received) if end == (End::Reply { success: false }) => *refusal = Some(received),
+            _ => {}
+        }
+    }
+
+    fn accuse(&self) {
+        let node = &self.node;
+        let remaining_ms = accusation::EXPIRY.as_millis() as u32;
+        let notice = accusation::Notice {
+            fingerprint: self.fingerprint,
+            arrival: self.arrival,
+            remaining_ms,
+        };
+        if node.accusations.lock().learn(node.now(), notice) {
+            fleet::spread_news(node);
+        }
+    }
+
+    fn attempt(&self, now: Instant, send: Send, deadline: Instant) -> BoxFuture<'static, Done> {
+        let Send { part, choice, .. } = send;
+        let request = Request::from_parts(self.template.clone(), Full::new(self.body.clone()));
+        let message = Message {
+            request,
+            id: self.id.clone(),
+            instance: choice.entry.instance.clone(),
+            deadline,
+            repeatable: self.route.repeatable,
+        };
+        let node = self.node.clone();
+        let links = node.links.links(choice.seat);
+        let mut guard = Guard { node: node.clone(), seat: choice.seat, sent: now, end: None };
+        let address = choice.entry.address.0;
+        Box::pin(async move {
+            let ended = links.send(node, address, choice.connections, message).await;
+            guard.end = Some(ended.end);
+            drop(guard);
+            Done { part, ended }
+        })
+    }
+
+    fn answer(
+        &self,
+        job: &Job,
+        verdict: Verdict,
+        parts: Vec<Received>,
+        refusal: Option<Received>,
+    ) -> Response<Body> {
+        let node = &self.node;
+        if !parts.is_empty() {
+            node.accusations.lock().acquit(self.fingerprint);
+        }
+        match (verdict, &self.route.target) {
+            (Verdict::Whole | Verdict::Partial, Target::Each { records, .. }) => {
+                self.merged(job, &parts, *records)
+            }
+            (Verdict::Whole | Verdict::Partial, Target::One(_)) => match parts.into_iter().next() {
+                Some(received) => relayed(received),
+                None => answer::failed(job.fate(), Reason::Lost, None),
+            },
+            (Verdict::Failed { fate, reason }, target) => match refusal {
+                // What the upstream says of its failure is the caller's to read.
+                Some(received) if fate == Fate::Ran && matches!(target, Target::One(_)) => {
+                    relayed(received)
+                }
+                _ => answer::failed(fate, reason, retry_after(reason)),
+            },
+        }
+    }
+
+    fn merged(&self, job: &Job, parts: &[Received], records: usize) -> Response<Body> {
+        let bodies: Vec<Bytes> = parts.iter().map(|p| p.response.body().clone()).collect();
+        let proofs: Vec<HeaderValue> =
+            parts.iter().filter_map(|p| p.reply.proof.clone()).collect();
+        let missing = job.plan().pools.len() - job.replied();
+        let mut response = Response::new(Full::new(merge::greatest(&bodies, records)));
+        self.node.codec.write_merged(response.headers_mut(), &proofs, missing);
+        response
+    }
+}
+
+/// Waits for attempts that nobody needs any more, and then drops them with their connections.
+async fn finish(mut attempts: Attempts) {
+    let all = async { while attempts.next().await.is_some() {} };
+    // What has not ended by then is cut off.
+    let _ = tokio::time::timeout(LEFTOVER, all).await;
+}
+
+fn retry_after(reason: Reason) -> Option<Duration> {
+    Some(match reason {
+        Reason::Unreachable | Reason::Draining => RETRY_OUTAGE,
+        Reason::Quarantined => accusation::EXPIRY,
+        _ => RETRY_SOON,
+    })
+}
+
+fn relayed(received: Received) -> Response<Body> {
+    let (mut head, body) = received.response.into_parts();
+    answer::strip_hop(&mut head.headers);
+    if !body.is_empty() {
+        // Set anew from the body, which came whole.
+        head.headers.remove(header::CONTENT_LENGTH);
+    }
+    Response::from_parts(head, Full::new(body))
+}
+
+/// Records the end of an attempt, also if it is dropped before.
+struct Guard {
+    node: Arc<Node>,
+    seat: Seat,
+    sent: Instant,
+    end: Option<End>,
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        let now = self.node.now();
+        let end = self.end.unwrap_or(End::Silent);
+        self.node.pools.lock().ended(now, self.seat, self.sent, end);
+    }
+}
--- /dev/null
+++ b/crates/relay/src/node.rs
@@ -0,0 +1,172 @@
+//! What all tasks of a node share.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Instant,
+};
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use base::{clock::Clock, id, unit::Generation};
+use config::relay::Settings;
+use parking_lot::Mutex;
+use policy::{
+    membership::{Fleet, Record},
+    relay::{
+        accusation,
+        pool::Pools,
+        registry::Registry,
+        route::{Splitter, Table},
+        spend::Bound,
+    },
+};
+use rand::{RngCore, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use smol_str::SmolStr;
+use tokio::sync::Notify;
+
+use crate::{
+    connection,
+    edge::{Codec, Published, Source},
+};
+
+/// State of one node.
+#[derive(Debug)]
+pub struct Node {
+    /// Settings of the process.
+    pub settings: Settings,
+    /// The protocol's headers.
+    pub codec: Arc<dyn Codec>,
+    /// The platform's service.
+    pub source: Arc<dyn Source>,
+    clock: Arc<dyn Clock>,
+    rng: Mutex<ChaCha8Rng>,
+    /// Configuration in force.
+    pub(crate) table: ArcSwapOption<Table>,
+    /// The same as published.
+    pub(crate) published: ArcSwapOption<Published>,
+    pub(crate) registry: Mutex<Registry>,
+    pub(crate) pools: Mutex<Pools>,
+    pub(crate) splitter: Mutex<Splitter>,
+    pub(crate) accusations: Mutex<accusation::Book>,
+    pub(crate) links: connection::Book,
+    pub(crate) fleet: Mutex<Fleet>,
+    /// Records of other nodes.
+    pub(crate) view: ArcSwap<Vec<Record>>,
+    pub(crate) view_version: AtomicUsize,
+    /// Whether the platform has told, or a peer has, all upstreams once.
+    pub(crate) informed: AtomicBool,
+    pub(crate) leaving: AtomicBool,
+    /// Requests being served.
+    pub(crate) serving: AtomicUsize,
+    /// Bytes of request bodies held.
+    pub(crate) buffered: AtomicUsize,
+    /// Socket for heartbeats, once it is open.
+    pub(crate) outbox: ArcSwapOption<tokio::net::UdpSocket>,
+    /// Whether a peer is being asked for its news.
+    pub(crate) catching_up: AtomicBool,
+    /// Asks the follower of the platform to look again at once.
+    pub(crate) look: Notify,
+}
+
+impl Node {
+    /// A node that knows nothing yet. `seed` decides its random choices; `incarnation` tells
+    /// it from earlier processes on its address.
+    pub fn new(
+        settings: Settings,
+        codec: Arc<dyn Codec>,
+        source: Arc<dyn Source>,
+        clock: Arc<dyn Clock>,
+        incarnation: id::Incarnation,
+        seed: u64,
+    ) -> Node {
+        let now = clock.now();
+        let bound = Bound {
+            ratio: settings.extra_ratio,
+            slack: settings.extra_slack,
+            window: settings.extra_window,
+        };
+        let domain = SmolStr::new(settings.domain.as_str());
+        let own = Record {
+            node: id::Node(settings.peers),
+            incarnation,
+            counter: 0,
+            status: policy::membership::Status::Alive,
+            serving: false,
+            domain: settings.domain.clone(),
+            callers: settings.callers,
+        };
+        let mut fleet = Fleet::new(own);
+        let port = settings.peers.port();
+        let seeds = settings.seeds.iter().map(|s| id::Node(SocketAddr::new(s.ip(), port)));
+        fleet.list(seeds.collect());
+        Node {
+            codec,
+            source,
+            clock,
+            rng: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
+            table: ArcSwapOption::empty(),
+            published: ArcSwapOption::empty(),
+            registry: Mutex::new(Registry::new(settings.drain)),
+            pools: Mutex::new(Pools::new(domain, bound, now)),
+            splitter: Mutex::new(Splitter::new()),
+            accusations: Mutex::default(),
+            links: connection::Book::new(),
+            fleet: Mutex::new(fleet),
+            view: ArcSwap::default(),
+            view_version: AtomicUsize::new(usize::MAX),
+            informed: AtomicBool::new(false),
+            leaving: AtomicBool::new(false),
+            serving: AtomicUsize::new(0),
+            buffered: AtomicUsize::new(0),
+            outbox: ArcSwapOption::empty(),
+            catching_up: AtomicBool::new(false),
+            look: Notify::new(),
+            settings,
+        }
+    }
+
+    /// The current instant, suspensions included.
+    pub fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// A random number.
+    pub fn random(&self) -> u64 {
+        self.rng.lock().next_u64()
+    }
+
+    pub(crate) fn with_rng<T>(&self, f: impl FnOnce(&mut dyn RngCore) -> T) -> T {
+        f(&mut *self.rng.lock())
+    }
+
+    /// The configuration in force.
+    pub fn table(&self) -> Option<Arc<Table>> {
+        self.table.load_full()
+    }
+
+    /// Generation of the configuration in force; the lowest without one.
+    pub fn generation(&self) -> Generation {
+        self.table.load().as_ref().map(|t| t.generation).unwrap_or_default()
+    }
+
+    /// Whether the node may be named to callers: it knows a configuration and the upstreams,
+    /// and is not stopping.
+    pub fn is_ready(&self) -> bool {
+        let informed = self.informed.load(Ordering::Relaxed) && self.table.load().is_some();
+        informed && !self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Starts a planned stop: the node is no longer named to callers.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the node is stopping.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/crates/relay/src/socket.rs
@@ -0,0 +1,45 @@
+//! Options of TCP connections.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use socket2::{SockRef, TcpKeepalive};
+use tokio::net::{TcpSocket, TcpStream};
+
+/// Time of silence after which the other end is probed. With the two probes after it, a
+/// connection that has gone silent is known within 3 s, less than the 4 s after which a
+/// deployment holds a VM to its bounds again.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+const KEEPALIVE_PROBES: u32 = 2;
+/// Time for which sent bytes may stay unacknowledged.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(2_500);
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// Connects to `address` with options that show a silent connection.
+pub async fn connect(address: SocketAddr, timeout: Duration) -> io::Result<TcpStream> {
+    let connecting = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
+    let stream = connecting.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    tune(&stream)?;
+    Ok(stream)
+}
+
+/// Sets the options of a connection.
+pub fn tune(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_PROBES);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))
+}
+
+/// Listens on `address`, also while connections of an earlier process there linger.
+pub fn listen(address: SocketAddr) -> io::Result<tokio::net::TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
--- a/crates/wire/src/heartbeat.rs
+++ b/crates/wire/src/heartbeat.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Version of the protocol between nodes.
-pub const PROTOCOL: u16 = 1;
+pub const PROTOCOL: u16 = 2;
 /// Largest datagram, in bytes; fits an Ethernet frame.
 pub const SIZE_LIMIT: usize = 1_400;
 
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod answer;
 pub mod caller;
+pub mod feed;
 pub mod heartbeat;
 pub mod operator;
 pub mod peer;
--- a/crates/wire/tests/heartbeat.rs
+++ b/crates/wire/tests/heartbeat.rs
@@ -6,6 +6,7 @@
     departure,
     membership::{Kind, Message, Record, Status},
     quarantine,
+    relay::accusation,
 };
 use quickcheck::{Gen, QuickCheck};
 use wire::heartbeat::{self, Error, SIZE_LIMIT};
@@ -35,6 +36,8 @@
         records: (0..records).map(record).collect(),
         notices: vec![quarantine::Notice { fingerprint, remaining_ms: 1 }; 8],
         departures: vec![departure::Notice { upstream, remaining_ms: 1 }; 8],
+        revision: base::unit::Revision(u64::MAX),
+        accusations: vec![accusation::Notice { fingerprint, arrival: u32::MAX, remaining_ms: 1 }; 8],
     }
 }
 
