--- a/crates/relay/src/catalog.rs
+++ b/crates/relay/src/catalog.rs
@@ -23,6 +23,10 @@
 /// Longest wait of one watch. Each call has its price; a watch that has fallen silent is
 /// noticed by heartbeats of peers and by keep-alive probes.
 const WATCH: Duration = Duration::from_secs(10);
+/// Time between a watch that told something and the next: each call has its price, and
+/// upstreams of a fleet that starts register one by one. Well under the 3 s within which a
+/// configuration is to be in force.
+const GATHER: Duration = Duration::from_millis(700);
 /// Wait after a failed call; doubles with each further one.
 const RETRY: Duration = Duration::from_millis(200);
 /// Longest wait after failed calls: entries that lapsed with the service are back within 2 s
@@ -72,7 +76,11 @@
     }
     let after = node.registry.lock().revision();
     let changes = node.source.watch(after, WATCH).await?;
+    let told = changes.config.is_some() || !changes.upstreams.is_empty();
     learn(node, changes, false);
+    if told {
+        tokio::time::sleep(GATHER).await;
+    }
     Ok(())
 }
 
