Callers are told the strong nodes; a few nodes follow the platform for a large fleet

Ruled out: cells, for now: eight VMs of 0.5 cores carry all callers at 1 to 3% of a core each. Change: nodes tell their capacity; address answers name the strong ones in domains that have upstreams; two nodes a domain watch the platform for the others, which look for themselves once its last word is old.

--- a/crates/balsamgate/src/relay.rs
+++ b/crates/balsamgate/src/relay.rs
@@ -24,7 +24,7 @@
 /// Callers keep an address answer for up to three times its validity.
 const VALIDITY_FACTOR: u32 = 3;
 /// Kept of the time until the process must have ended, to end by itself.
-const EXIT_MARGIN: Duration = Duration::from_millis(700);
+const EXIT_MARGIN: Duration = Duration::from_millis(1_200);
 /// Time for the last connections to close.
 const CLOSE_MARGIN: Duration = Duration::from_millis(200);
 /// Bits of an incarnation that are random.
--- a/crates/config/src/relay.rs
+++ b/crates/config/src/relay.rs
@@ -16,6 +16,8 @@
     pub deployment: id::Deployment,
     /// Failure domain that the node's VM is in.
     pub domain: id::Domain,
+    /// Processor time of the VM, in thousandths of a core.
+    pub capacity: u32,
     /// Address for callers.
     pub callers: SocketAddr,
     /// Address that says whether the node is ready.
@@ -33,6 +35,8 @@
     pub platform: SocketAddr,
     /// Validity of an address answer.
     pub address_validity: Duration,
+    /// Time within which a new configuration is in force on every node.
+    pub apply: Duration,
     /// Time within which an upstream that leaves gets no more requests.
     pub drain: Duration,
     /// Time from the signal to stop until the process must have ended.
@@ -64,6 +68,7 @@
 help! {
     "[node] deployment", "name", "", "Deployment that the node belongs to";
     "[node] failure_domain", "name", "", "Failure domain of the node's VM";
+    "[node] cores", "0.001 to 1000", "1", "Processor time of the VM, in cores";
     "[listen] callers", "IP:port", "", "Address for callers";
     "[listen] ready", "IP:port", "", "Address that says whether the node is ready";
     "[listen] directory", "IP:port", "", "Address that tells callers which nodes to use";
@@ -72,6 +77,7 @@
     "[fleet] seeds", "IP:port separated by commas", "(none)", "Nodes to ask for the others; only the IP counts";
     "[platform] address", "IP:port", "", "Address of the platform's service";
     "[addresses] validity", "1 s to 5 min", "1 s", "Validity of an address answer";
+    "[bounds] apply", "100 ms to 10 min", "5 s", "Time within which a new configuration is in force on every node";
     "[bounds] drain", "100 ms to 10 min", "3 s", "Time within which an upstream that leaves gets no more requests";
     "[bounds] grace", "1 s to 30 min", "30 s", "Time from the signal to stop until the process must have ended";
     "[extra] ratio", "0 to 1", "0.05", "Second attempts for each request to a pool, over all nodes";
@@ -92,7 +98,8 @@
         let mut node = f.take_one("node", true);
         let deployment = node.take(f, "deployment", names, None, |v| v.parse().ok());
         let domain = node.take(f, "failure_domain", names, None, |v| v.parse().ok());
-        node.finish(f, "deployment, failure_domain");
+        let cores = node.take(f, "cores", "0.001 to 1000", Some(1.0), |v| within(v, 0.001, 1e3));
+        node.finish(f, "deployment, failure_domain, cores");
 
         let addr = "IP:port, such as 127.0.0.1:7000";
         let mut listen = f.take_one("listen", true);
@@ -117,9 +124,10 @@
         addresses.finish(f, "validity");
 
         let mut bounds = f.take_one("bounds", false);
+        let apply = bounds.span(f, "apply", 100..=600_000, Some(5_000));
         let drain = bounds.span(f, "drain", 100..=600_000, Some(3_000));
         let grace = bounds.span(f, "grace", 1_000..=1_800_000, Some(30_000));
-        bounds.finish(f, "drain, grace");
+        bounds.finish(f, "apply, drain, grace");
 
         let mut extra = f.take_one("extra", false);
         let ratio = extra.take(f, "ratio", "0 to 1", Some(0.05), |v| within(v, 0.0, 1.0));
@@ -148,6 +156,7 @@
             Some(Settings {
                 deployment: deployment?,
                 domain: domain?,
+                capacity: (cores? * 1_000.0).round() as u32,
                 callers: callers?,
                 ready: ready?,
                 directory: directory?,
@@ -156,6 +165,7 @@
                 seeds: seeds?,
                 platform: platform_addr?,
                 address_validity: validity?,
+                apply: apply?,
                 drain: drain?,
                 grace: grace?,
                 extra_ratio: ratio?,
--- a/crates/node/src/context.rs
+++ b/crates/node/src/context.rs
@@ -32,6 +32,8 @@
 
 /// Configurations kept for running queries, the one in force included.
 const HISTORY: usize = 4;
+/// Capacity told to other nodes, in thousandths of a core: this node's settings do not say it.
+const CAPACITY: u32 = 1_000;
 const NOTICES: usize = policy::membership::NOTICES;
 const DEPARTURES: usize = policy::membership::DEPARTURES;
 
@@ -110,6 +112,7 @@
             serving: false,
             domain: settings.domain.clone(),
             callers: settings.callers,
+            capacity: CAPACITY,
         };
         Context {
             holder: Mutex::new(Holder::new(settings.deployment.clone())),
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -70,6 +70,8 @@
     pub domain: id::Domain,
     /// Where it serves callers.
     pub callers: SocketAddr,
+    /// Processor time of its VM, in thousandths of a core.
+    pub capacity: u32,
 }
 
 impl Record {
@@ -122,6 +124,8 @@
     pub revision: Revision,
     /// Relayed requests that are accused of crashing upstreams.
     pub accusations: Vec<accusation::Notice>,
+    /// Age of the platform's last word that the sender knows of, in milliseconds.
+    pub word_age_ms: Option<u32>,
 }
 
 /// A message to send.
@@ -142,10 +146,12 @@
     pub notices: Vec<Notice>,
     /// Upstreams that the platform lists as leaving.
     pub departures: Vec<departure::Notice>,
-    /// Last change in the platform's registry that the sender knows of.
+    /// Last change in the platform's registry that this node knows of.
     pub revision: Revision,
     /// Relayed requests that are accused of crashing upstreams.
     pub accusations: Vec<accusation::Notice>,
+    /// Age of the platform's last word that this node knows of, in milliseconds.
+    pub word_age_ms: Option<u32>,
 }
 
 #[derive(Debug)]
@@ -554,6 +560,7 @@
                 departures,
                 revision: extras.revision,
                 accusations,
+                word_age_ms: extras.word_age_ms,
             },
         }
     }
--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -7,6 +7,7 @@
 pub mod accusation;
 pub mod job;
 pub mod merge;
+pub mod naming;
 pub mod pool;
 pub mod registry;
 pub mod route;
--- a/crates/policy/src/relay/registry.rs
+++ b/crates/policy/src/relay/registry.rs
@@ -186,6 +186,20 @@
         })
     }
 
+    /// Pools that have a ready upstream in each failure domain.
+    pub fn coverage(&self) -> FastMap<SmolStr, usize> {
+        let ready = self.usable().filter(|(_, standing)| *standing == Standing::Ready);
+        let mut places: Vec<(&SmolStr, &id::Pool)> =
+            ready.map(|(e, _)| (&e.domain, &e.pool)).collect();
+        places.sort_unstable();
+        places.dedup();
+        let mut coverage = FastMap::default();
+        for (domain, _) in places {
+            *coverage.entry(domain.clone()).or_default() += 1;
+        }
+        coverage
+    }
+
     /// What happened after `after`; `None` if that is too long ago to tell.
     pub fn since(&self, after: Revision) -> Option<Vec<Event>> {
         if after < self.horizon {
--- a/crates/relay/src/catalog.rs
+++ b/crates/relay/src/catalog.rs
@@ -5,7 +5,7 @@
 
 use std::{
     sync::{Arc, atomic::Ordering},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use base::id;
@@ -20,9 +20,19 @@
     peer,
 };
 
-/// Longest wait of one watch. Each call has its price; a watch that has fallen silent is
-/// noticed by heartbeats of peers and by keep-alive probes.
+/// Longest wait of one watch where each node watches. Each call has its price; a watch that
+/// has fallen silent is noticed by heartbeats of peers and by keep-alive probes.
 const WATCH: Duration = Duration::from_secs(10);
+/// Share of the time for a configuration to be in force that one watch waits where nodes watch
+/// for others: they must notice soon when it has fallen silent.
+const WATCH_SHARE: f64 = 0.35;
+/// The same share as the age of the platform's last word at which a node that relies on others
+/// looks for itself.
+const STALE_SHARE: f64 = 0.6;
+/// Time between two looks of a node that relies on others at whether it still can.
+const RELY: Duration = Duration::from_millis(200);
+/// Time that a starting node which is nobody's seed waits for peers to tell it everything.
+const START_DELAY: Duration = Duration::from_millis(300);
 /// Time between a watch that told something and the next: each call has its price, and
 /// upstreams of a fleet that starts register one by one. Well under the 3 s within which a
 /// configuration is to be in force.
@@ -40,6 +50,11 @@
     let mut failures = 0;
     let mut whole = true;
     while !cancel.is_cancelled() {
+        if relies_on_others(&node) {
+            whole &= !node.informed.load(Ordering::Relaxed);
+            tokio::time::sleep(RELY).await;
+            continue;
+        }
         let result = tokio::select! {
             biased;
             () = cancel.cancelled() => return,
@@ -61,21 +76,51 @@
                 }
                 failures += 1;
                 let pause = RETRY * 2u32.pow(failures.min(4) - 1);
-                let jitter = 0.75 + 0.5 * (node.random() as f64 / u64::MAX as f64);
-                tokio::time::sleep(pause.min(RETRY_LIMIT).mul_f64(jitter)).await;
+                tokio::time::sleep(pause.min(RETRY_LIMIT).mul_f64(jitter(&node))).await;
             }
         }
     }
 }
 
+fn jitter(node: &Node) -> f64 {
+    0.75 + 0.5 * (node.random() as f64 / u64::MAX as f64)
+}
+
+/// Whether the node may leave it to others to follow the platform.
+fn relies_on_others(node: &Node) -> bool {
+    let now = node.now();
+    if !node.informed.load(Ordering::Relaxed) {
+        let own = node.settings.callers.ip();
+        let is_seed = node.settings.seeds.iter().any(|s| s.ip() == own);
+        let age = now.saturating_duration_since(node.born);
+        return !is_seed && age < START_DELAY.mul_f64(jitter(node));
+    }
+    if fleet::is_watcher(node) {
+        return false;
+    }
+    let stale = node.settings.apply.mul_f64(STALE_SHARE * jitter(node));
+    let word = *node.word.lock();
+    word.is_some_and(|at| now.saturating_duration_since(at) < stale)
+}
+
+/// Records that the platform has spoken at `word`, and that this node knows all it said.
+pub(crate) fn hear_word(node: &Node, word: Option<Instant>) {
+    let mut known = node.word.lock();
+    *known = (*known).max(word);
+}
+
 async fn look(node: &Arc<Node>, whole: bool) -> Result<(), SourceError> {
     if whole {
         let changes = node.source.read().await?;
         learn(node, changes, true);
+        hear_word(node, Some(node.now()));
         return Ok(());
     }
     let after = node.registry.lock().revision();
-    let changes = node.source.watch(after, WATCH).await?;
+    let alone = node.view.load().len() < fleet::SMALL;
+    let wait = if alone { WATCH } else { node.settings.apply.mul_f64(WATCH_SHARE) };
+    let changes = node.source.watch(after, wait).await?;
+    hear_word(node, Some(node.now()));
     let told = changes.config.is_some() || !changes.upstreams.is_empty();
     learn(node, changes, false);
     if told {
@@ -100,6 +145,9 @@
     }
     news.iter().for_each(report);
     refresh(node);
+    if !news.is_empty() {
+        fleet::refresh_coverage(node);
+    }
     if adopted || !news.is_empty() {
         fleet::spread_news(node);
     }
@@ -171,6 +219,9 @@
             let config =
                 config.map(|c| Published { revision: c.revision, bytes: c.bytes });
             learn(&node, Changes { config, upstreams: events, until }, whole);
+            if !is_behind(&node, &said) {
+                hear_word(&node, said.word);
+            }
             // Its own watch may have fallen silent.
             node.look.notify_one();
         }
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -3,7 +3,7 @@
 use std::{
     net::SocketAddr,
     sync::{Arc, atomic::Ordering},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use base::{
@@ -13,25 +13,35 @@
 use policy::{
     adoption::Stamp,
     membership::{ACCUSATIONS, Extras, Out, Record, Status},
+    relay::naming::{self, Candidate},
+    routing,
 };
 use tokio::net::UdpSocket;
 use tokio_util::sync::CancellationToken;
 use wire::heartbeat;
 
-use crate::{catalog, node::Node, peer};
+use crate::{
+    catalog,
+    node::{Names, Node},
+    peer,
+};
 
 /// Time between two ticks.
 const TICK: Duration = Duration::from_millis(100);
 /// Addresses in one answer.
 const ADDRESSES: usize = 64;
-/// Least number of nodes in one answer before nodes of other failure domains are added.
-const NEAR: usize = 2;
+/// Nodes up to which each follows the platform itself.
+pub(crate) const SMALL: usize = 24;
+/// Nodes of a failure domain that follow the platform in a larger fleet.
+const WATCHERS: usize = 2;
 
 /// What a peer's heartbeat says of the platform's service.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Said {
     pub(crate) generation: Generation,
     pub(crate) revision: Revision,
+    /// When the platform last spoke.
+    pub(crate) word: Option<Instant>,
 }
 
 /// Sends and receives heartbeats until `cancel`.
@@ -110,10 +120,15 @@
     if accused {
         spread_news(node);
     }
-    let said = Said { generation: message.stamp.generation, revision: message.revision };
+    let age = message.word_age_ms.map(|ms| Duration::from_millis(u64::from(ms)));
+    let word = age.and_then(|age| node.now().checked_sub(age));
+    let said =
+        Said { generation: message.stamp.generation, revision: message.revision, word };
     let known = node.registry.lock().revision();
     let behind = said.generation > node.generation() || said.revision > known;
-    if behind && !node.catching_up.swap(true, Ordering::Relaxed) {
+    if !behind {
+        catalog::hear_word(node, word);
+    } else if !node.catching_up.swap(true, Ordering::Relaxed) {
         let (node, from) = (node.clone(), message.sender.node);
         tokio::spawn(async move {
             catalog::catch_up(node.clone(), from, said).await;
@@ -129,7 +144,12 @@
         let book = node.accusations.lock();
         if book.is_empty() { Vec::new() } else { book.notices(node.now(), ACCUSATIONS) }
     };
-    Extras { stamp, revision, accusations, ..Extras::default() }
+    let word = *node.word.lock();
+    let word_age_ms = word.map(|at| {
+        let age = node.now().saturating_duration_since(at).as_millis();
+        u32::try_from(age).unwrap_or(u32::MAX)
+    });
+    Extras { stamp, revision, accusations, word_age_ms, ..Extras::default() }
 }
 
 /// Called with the lock on the fleet held, so that views are stored in order.
@@ -140,10 +160,38 @@
     }
     let mut records: Vec<Record> = fleet.records().cloned().collect();
     records.sort_unstable_by_key(|r| r.node);
+    node.view.store(Arc::new(records));
+    refresh_names(node, fleet.own());
+}
+
+/// Renews what address answers are made from after a change of the registry.
+pub(crate) fn refresh_coverage(node: &Node) {
+    let fleet = node.fleet.lock();
+    refresh_names(node, fleet.own());
+}
+
+/// Renews what address answers are made from, and the share of what all nodes may use.
+fn refresh_names(node: &Node, own: &Record) {
+    let view = node.view.load();
+    let serving = view.iter().chain([own]).filter(|r| r.status == Status::Alive && r.serving);
+    let candidate = |r: &Record| Candidate {
+        address: r.callers,
+        domain: r.domain.clone(),
+        capacity: r.capacity,
+    };
+    let candidates: Vec<Candidate> = serving.map(candidate).collect();
+    let coverage = node.registry.lock().coverage();
+    let carriers = naming::carriers(&candidates);
+    let carries = carriers.iter().any(|c| c.address == node.settings.callers);
     // Dead ones count: a process may come back on their VM at any moment.
-    let nodes = (!records.is_empty()).then_some(records.len() + 1);
+    let all = view.len() + 1;
+    let nodes = match carriers.len() < candidates.len() && carries {
+        true => carriers.len(),
+        false => all,
+    };
+    let nodes = (!view.is_empty()).then_some(nodes);
     node.pools.lock().set_nodes(nodes);
-    node.view.store(Arc::new(records));
+    node.names.store(Arc::new(Names { candidates, coverage }));
 }
 
 /// Tells some nodes at once of what this node has learned.
@@ -182,25 +230,39 @@
     }
 }
 
-/// Addresses of nodes for a caller in the failure domain `domain`.
-///
-/// Nodes of that domain; where it has fewer than two, all. Empty if the node knows no node
-/// that serves.
+/// Addresses of nodes for a caller in the failure domain `domain`; empty if the node knows no
+/// node that serves.
 pub fn addresses(node: &Node, domain: &str) -> Vec<SocketAddr> {
+    let names = node.names.load();
+    let mut chosen: Vec<SocketAddr> = naming::choose(domain, &names.candidates, &names.coverage)
+        .into_iter()
+        .map(|c| c.address)
+        .collect();
+    let start = if chosen.is_empty() { 0 } else { node.random() as usize % chosen.len() };
+    chosen.rotate_left(start);
+    chosen.truncate(ADDRESSES);
+    chosen
+}
+
+/// Whether this node is one of those that follow the platform for the others.
+///
+/// In a fleet of a few dozen nodes every node does, so that nothing rests on the others. In a
+/// larger one some do in each failure domain, and the others once the platform's last word is
+/// old.
+pub(crate) fn is_watcher(node: &Node) -> bool {
     let view = node.view.load();
-    let serving = |r: &&Record| r.status == Status::Alive && r.serving;
-    let mut nodes: Vec<(bool, SocketAddr)> =
-        view.iter().filter(serving).map(|r| (r.domain.as_str() == domain, r.callers)).collect();
-    if node.is_ready() {
-        let near = node.settings.domain.as_str() == domain;
-        nodes.push((near, node.settings.callers));
-    }
-    let near = nodes.iter().filter(|(near, _)| *near).count();
-    if near >= NEAR {
-        nodes.retain(|(near, _)| *near);
+    if view.len() < SMALL {
+        return true;
     }
-    nodes.sort_unstable();
-    let start = if nodes.is_empty() { 0 } else { node.random() as usize % nodes.len() };
-    nodes.rotate_left(start);
-    nodes.into_iter().map(|(_, address)| address).take(ADDRESSES).collect()
+    let domain = &node.settings.domain;
+    let rank = |r: &Record| {
+        let weight = routing::weight(b"watcher", domain.as_str().as_bytes(), r.node);
+        (r.capacity, weight)
+    };
+    let own = {
+        let fleet = node.fleet.lock();
+        rank(fleet.own())
+    };
+    let alive = |r: &&Record| r.status == Status::Alive && r.domain == *domain;
+    view.iter().filter(alive).filter(|r| rank(r) > own).count() < WATCHERS
 }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -10,13 +10,14 @@
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use base::{clock::Clock, id, unit::Generation};
+use base::{clock::Clock, hash::FastMap, id, unit::Generation};
 use config::relay::Settings;
 use parking_lot::Mutex;
 use policy::{
     membership::{Fleet, Record},
     relay::{
         accusation,
+        naming::Candidate,
         pool::Pools,
         registry::Registry,
         route::{Splitter, Table},
@@ -33,6 +34,13 @@
     edge::{Codec, Published, Source},
 };
 
+/// What address answers are made from.
+#[derive(Debug, Default)]
+pub(crate) struct Names {
+    pub(crate) candidates: Vec<Candidate>,
+    pub(crate) coverage: FastMap<SmolStr, usize>,
+}
+
 /// State of one node.
 #[derive(Debug)]
 pub struct Node {
@@ -62,8 +70,12 @@
     pub(crate) leaving: AtomicBool,
     /// Requests being served.
     pub(crate) serving: AtomicUsize,
-    /// Bytes of request bodies held.
-    pub(crate) buffered: AtomicUsize,
+    /// When the platform last spoke, as far as this node knows.
+    pub(crate) word: Mutex<Option<Instant>>,
+    /// Nodes that callers may be told to use, and what each failure domain has.
+    pub(crate) names: ArcSwap<Names>,
+    /// When the process started.
+    pub(crate) born: Instant,
     /// Socket for heartbeats, once it is open.
     pub(crate) outbox: ArcSwapOption<tokio::net::UdpSocket>,
     /// Whether a peer is being asked for its news.
@@ -98,6 +110,7 @@
             serving: false,
             domain: settings.domain.clone(),
             callers: settings.callers,
+            capacity: settings.capacity,
         };
         let mut fleet = Fleet::new(own);
         let port = settings.peers.port();
@@ -121,7 +134,9 @@
             informed: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             serving: AtomicUsize::new(0),
-            buffered: AtomicUsize::new(0),
+            word: Mutex::default(),
+            names: ArcSwap::default(),
+            born: now,
             outbox: ArcSwapOption::empty(),
             catching_up: AtomicBool::new(false),
             look: Notify::new(),
--- a/crates/wire/tests/heartbeat.rs
+++ b/crates/wire/tests/heartbeat.rs
@@ -22,6 +22,7 @@
         serving: true,
         domain: "a-failure-domain-with-a-long-name".parse().expect("name"),
         callers: ([10, 0, 0, 1], port).into(),
+        capacity: u32::MAX,
     }
 }
 
@@ -38,6 +39,7 @@
         departures: vec![departure::Notice { upstream, remaining_ms: 1 }; 8],
         revision: base::unit::Revision(u64::MAX),
         accusations: vec![accusation::Notice { fingerprint, arrival: u32::MAX, remaining_ms: 1 }; 8],
+        word_age_ms: Some(u32::MAX),
     }
 }
 
