Parts of a search end at its goal

Cause: with slow, shedding or lost upstreams each search queued its parts for its whole deadline; what was served was late, and nothing was in time. Ruled out: fewer nodes with a better view (no gain). Change: an attempt of a search is told the time to the goal rather than to the deadline, and none is sent after it.

--- a/crates/policy/src/relay/job.rs
+++ b/crates/policy/src/relay/job.rs
@@ -167,11 +167,18 @@
         rng: &mut dyn RngCore,
     ) -> Option<Send> {
         let Plan { attempts, repeatable, goal, .. } = self.plan;
+        let past = self.parts.len() > 1 && now >= self.cut();
         let pool = &self.plan.pools[index];
         let part = &mut self.parts[index];
         if part.replied || part.lost {
             return None;
         }
+        if past {
+            if part.open == 0 {
+                self.lose(index);
+            }
+            return None;
+        }
         let first = part.tried.is_empty();
         let again = part.open == 0;
         if !again {
@@ -300,6 +307,27 @@
         self.plan.arrived + self.plan.goal.mul_f64(1.0 - MARGIN)
     }
 
+    /// Tells the pools which of them replied in time; to be called once, with the verdict.
+    pub fn settle(&self, now: Instant, pools: &mut Pools) {
+        let in_goal = now <= self.plan.arrived + self.plan.goal;
+        for (part, pool) in self.parts.iter().zip(&self.plan.pools) {
+            pools.judge(now, pool, part.replied && in_goal);
+        }
+    }
+
+    /// Until when the attempt for the pool at index `part` is of use.
+    ///
+    /// An overloaded pool does not begin work that comes after the goal: what waits there in
+    /// order of arrival would otherwise all be late, and nothing in time.
+    pub fn useful_until(&self, now: Instant, part: usize, pools: &Pools) -> Instant {
+        let merged = self.parts.len() > 1;
+        let cut = self.cut() + LAST;
+        match merged && now < cut {
+            true => cut.min(self.plan.deadline),
+            false => self.plan.deadline,
+        }
+    }
+
     /// When to look again at the latest, if no attempt ends before.
     pub fn wake(&self, now: Instant) -> Instant {
         let mut wake = self.plan.deadline.checked_sub(LAST).unwrap_or(now);
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -273,7 +273,8 @@
             let due = node.with_rng(|rng| job.due(now, &mut node.pools.lock(), rng));
             for send in due {
                 self.tell_second(now, &job, &send);
-                attempts.push(self.attempt(now, send, job.plan().deadline));
+                let until = job.useful_until(now, send.part, &node.pools.lock());
+                attempts.push(self.attempt(now, send, until));
             }
             if let Some(verdict) = job.verdict(now) {
                 break verdict;
@@ -295,6 +296,7 @@
             tokio::spawn(finish(attempts));
         }
         self.told = true;
+        job.settle(node.now(), &mut node.pools.lock());
         self.tell_end(&job, verdict);
         self.answer(&job, verdict, parts, refusal)
     }
