Upstreams in other failure domains count 16 ms farther

Cause: bytes between domains were the second largest price on the grown sites; a few milliseconds of difference in speed moved first attempts there.

--- a/crates/policy/src/relay/pool.rs
+++ b/crates/policy/src/relay/pool.rs
@@ -23,7 +23,7 @@
 const UNKNOWN: Duration = Duration::from_millis(8);
 /// Added for an upstream in another failure domain: the way there and back, and what bytes
 /// between failure domains cost.
-const FAR: Duration = Duration::from_millis(6);
+const FAR: Duration = Duration::from_millis(16);
 /// Factor on the latency of an upstream that has just started.
 const COLD_FACTOR: f64 = 1.6;
 /// An attempt in flight for longer than this many times the typical latency means that the
