--- a/crates/policy/src/relay/accusation.rs
+++ b/crates/policy/src/relay/accusation.rs
@@ -1,7 +1,8 @@
 //! Requests that crash the upstreams that run them, found by all nodes together.
 //!
 //! The same request comes again through any node. A node that loses an upstream's connection
-//! while a request runs there accuses the request, and tells the others. Each arrival of the
+//! while a request runs there, and then finds that the upstream accepts no other, accuses the
+//! request and tells the others. Each arrival of the
 //! request counts once, however many upstreams it took down: a crash of many upstreams at once
 //! strikes each request that ran there, and most of those come back once at most.
 
--- a/crates/policy/src/relay/job.rs
+++ b/crates/policy/src/relay/job.rs
@@ -29,6 +29,9 @@
 const MARGIN_LEAST: Duration = Duration::from_millis(10);
 /// Kept of the time to the deadline, so that the last answer still arrives.
 const LAST: Duration = Duration::from_millis(8);
+/// Time after which a reply that was to leave its upstream by the goal no longer comes: the
+/// longest way in the deployments known, several times over.
+const TRAVEL: Duration = Duration::from_millis(25);
 /// Time between two looks for an upstream with room.
 const POLL: Duration = Duration::from_millis(10);
 
@@ -195,7 +198,7 @@
             self.lose(index);
             return None;
         }
-        if !first && !pools.has_other(now, pool, &part.tried) {
+        if !first && !pools.has_other(pool, &part.tried) {
             if again {
                 self.lose(index);
             } else {
@@ -271,7 +274,7 @@
         if enough && now >= self.cut() {
             return Some(Verdict::Partial);
         }
-        if now + LAST >= self.plan.deadline {
+        if now >= self.end() {
             return Some(if enough { Verdict::Partial } else { self.failed() });
         }
         None
@@ -288,6 +291,8 @@
             Reason::Failed
         } else if ends().any(|e| e == End::Lost) {
             Reason::Lost
+        } else if ends().any(|e| e == End::Broken) {
+            Reason::BadReply
         } else if ends().any(|e| e == End::Refused) {
             Reason::Overload
         } else {
@@ -311,33 +316,35 @@
         self.plan.arrived + self.plan.goal.saturating_sub(margin)
     }
 
-    /// Tells the pools which of them replied in time; to be called once, with the verdict.
-    pub fn settle(&self, now: Instant, pools: &mut Pools) {
-        let in_goal = now <= self.plan.arrived + self.plan.goal;
-        for (part, pool) in self.parts.iter().zip(&self.plan.pools) {
-            pools.judge(now, pool, part.replied && in_goal);
+    /// Until when an attempt is of use.
+    ///
+    /// An upstream with too much work drops what cannot be answered by the goal. What waits
+    /// there in order of arrival would otherwise all be late, and nothing in time.
+    pub fn useful_until(&self) -> Instant {
+        match self.parts.len() > 1 {
+            true => self.plan.deadline.min(self.cut() + LAST),
+            false => self.plan.deadline,
         }
     }
 
-    /// Until when the attempt for the pool at index `part` is of use.
-    ///
-    /// An overloaded pool does not begin work that comes after the goal: what waits there in
-    /// order of arrival would otherwise all be late, and nothing in time.
-    pub fn useful_until(&self, now: Instant, part: usize, pools: &Pools) -> Instant {
-        let merged = self.parts.len() > 1;
-        let cut = self.cut() + LAST;
-        match merged && now < cut {
-            true => cut.min(self.plan.deadline),
-            false => self.plan.deadline,
+    /// When the request ends, whatever is still out.
+    fn end(&self) -> Instant {
+        let deadline = self.plan.deadline.checked_sub(LAST).unwrap_or(self.plan.arrived);
+        match self.parts.len() > 1 {
+            true => deadline.min(self.cut() + LAST + TRAVEL),
+            false => deadline,
         }
     }
 
     /// When to look again at the latest, if no attempt ends before.
     pub fn wake(&self, now: Instant) -> Instant {
-        let mut wake = self.plan.deadline.checked_sub(LAST).unwrap_or(now);
+        let mut wake = self.end();
         let cut = self.cut();
         if cut > now {
             wake = wake.min(cut);
+        } else if self.parts.len() > 1 {
+            // No attempt leaves any more.
+            return wake;
         }
         for part in self.parts.iter().filter(|p| !p.replied && !p.lost) {
             let may = self.plan.repeatable && part.tried.len() < self.plan.attempts;
--- a/crates/policy/src/relay/pool.rs
+++ b/crates/policy/src/relay/pool.rs
@@ -39,12 +39,6 @@
 const DOWN: Duration = Duration::from_secs(4);
 /// Added for an upstream whose entry has gone.
 const FADING: Duration = Duration::from_secs(8);
-/// Weight of the newest part in a pool's share of late ones: about a second of one node's load.
-const LATE_WEIGHT: f64 = 0.1;
-/// Share of late parts from which on a pool is overloaded.
-const OVERLOADED: f64 = 0.1;
-/// Age at which that share no longer counts.
-const LATE_AGE: Duration = Duration::from_secs(2);
 /// Spread of random additions, so that nodes do not choose alike.
 const JITTER: Duration = Duration::from_millis(2);
 
@@ -69,9 +63,6 @@
 struct Pool {
     seats: Vec<Seat>,
     purse: Purse,
-    /// Share of parts that did not come within their goal lately, and when it was last told.
-    late: f64,
-    late_at: Instant,
 }
 
 /// All upstreams by pool, with what this node has seen of them.
@@ -139,19 +130,17 @@
     fn pool(&mut self, now: Instant, name: &id::Pool) -> &mut Pool {
         if !self.pools.contains_key(name) {
             let purse = Purse::new(self.bound, self.born, now);
-            let pool = Pool { seats: Vec::new(), purse, late: 0.0, late_at: now };
-            self.pools.insert(name.clone(), pool);
+            self.pools.insert(name.clone(), Pool { seats: Vec::new(), purse });
         }
         self.pools.get_mut(name).unwrap_or_else(|| unreachable!())
     }
 
     /// Whether `pool` has an upstream that is worth an attempt, beside those in `tried`.
-    pub fn has_other(&self, now: Instant, pool: &id::Pool, tried: &[Seat]) -> bool {
+    pub fn has_other(&self, pool: &id::Pool, tried: &[Seat]) -> bool {
         let usable = |seat: &Seat| {
             let known = self.upstreams.get(seat);
             !tried.contains(seat) && known.is_some_and(|u| !u.stats.is_replaced())
         };
-        let _ = now;
         self.pools.get(pool).is_some_and(|p| p.seats.iter().any(usable))
     }
 
@@ -234,22 +223,6 @@
         self.pool(now, pool).purse.fill(now, nodes)
     }
 
-    /// Records whether `pool` replied within the goal of a request.
-    pub fn judge(&mut self, now: Instant, pool: &id::Pool, in_time: bool) {
-        let pool = self.pool(now, pool);
-        let newest = if in_time { 0.0 } else { 1.0 };
-        pool.late += LATE_WEIGHT * (newest - pool.late);
-        pool.late_at = now;
-    }
-
-    /// Whether `pool` has more work than it can do within the goals of requests.
-    pub fn is_overloaded(&self, now: Instant, pool: &id::Pool) -> bool {
-        let late = |p: &Pool| {
-            p.late > OVERLOADED && now.saturating_duration_since(p.late_at) < LATE_AGE
-        };
-        self.pools.get(pool).is_some_and(late)
-    }
-
     /// Records that an attempt was sent.
     pub fn sent(&mut self, now: Instant, seat: Seat) {
         if let Some(upstream) = self.upstreams.get_mut(&seat) {
--- a/crates/policy/src/relay/upstream.rs
+++ b/crates/policy/src/relay/upstream.rs
@@ -38,8 +38,10 @@
     Replaced,
     /// Nothing of the request left this node.
     Unreached,
-    /// It may have run: the connection ended or sent what is no reply to this request.
+    /// It may have run: the connection ended before a reply began.
     Lost,
+    /// It may have run: a reply began, and broke off or was none to this request.
+    Broken,
     /// It may have run: no reply came while anybody waited for one.
     Silent,
 }
@@ -50,7 +52,7 @@
         match self {
             End::Reply { .. } => Fate::Ran,
             End::Refused | End::Replaced | End::Unreached => Fate::NotRun,
-            End::Lost | End::Silent => Fate::MayHaveRun,
+            End::Lost | End::Broken | End::Silent => Fate::MayHaveRun,
         }
     }
 }
@@ -107,7 +109,7 @@
             End::Refused => self.shed_until = Some(now + SHED_PAUSE),
             End::Replaced => self.replaced = true,
             End::Unreached => self.back_off(now),
-            End::Lost => self.judge(now, true),
+            End::Lost | End::Broken => self.judge(now, true),
             End::Silent => self.sample(now, now.saturating_duration_since(sent)),
         }
     }
--- /dev/null
+++ b/crates/policy/tests/relay_job.rs
@@ -0,0 +1,267 @@
+//! One relayed request: when attempts leave, and how it ends.
+
+use std::time::{Duration, Instant};
+
+use base::{id, unit::Revision};
+use policy::{
+    outcome::{Fate, Reason},
+    relay::{
+        job::{Cause, Job, Plan, Verdict},
+        pool::Pools,
+        registry::{Change, Entry, Event, Registry},
+        spend::Bound,
+        upstream::End,
+    },
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const GOAL: Duration = Duration::from_millis(100);
+const DEADLINE: Duration = Duration::from_secs(1);
+const OK: End = End::Reply { success: true };
+const FAILURE: End = End::Reply { success: false };
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn pool_name(n: usize) -> id::Pool {
+    format!("p{n}").parse().expect("name")
+}
+
+/// A job with its surroundings, at a time that the test sets.
+struct Case {
+    start: Instant,
+    at: Duration,
+    pools: Pools,
+    job: Job,
+    rng: ChaCha8Rng,
+}
+
+impl Case {
+    /// `pools` pools of `upstreams` upstreams each, of which `floor` must reply.
+    fn new(pools: usize, upstreams: usize, floor: usize, slack: f64, repeatable: bool) -> Case {
+        let start = Instant::now();
+        let mut events = Vec::new();
+        for pool in 0..pools {
+            for upstream in 0..upstreams {
+                let name = format!("u{pool}-{upstream}");
+                let entry = Entry {
+                    instance: id::Instance(name.as_str().into()),
+                    born_ms: 1,
+                    pool: pool_name(pool),
+                    address: format!("10.0.{pool}.{upstream}:80").parse().expect("address"),
+                    domain: "a".into(),
+                    slots: 3,
+                    draining: false,
+                    cold: Duration::ZERO,
+                };
+                let revision = Revision(events.len() as u64 + 1);
+                let change = Change::Put(entry);
+                events.push(Event { key: name.as_str().into(), revision, change });
+            }
+        }
+        let mut registry = Registry::new(ms(3_000));
+        let until = Revision(events.len() as u64);
+        registry.apply(start, events, until);
+        let bound = Bound { ratio: 0.0, slack, window: ms(10_000) };
+        let born = start.checked_sub(ms(20_000)).expect("up for longer");
+        let mut all = Pools::new("a".into(), bound, born);
+        all.set_nodes(Some(1));
+        all.sync(start, &registry);
+        let job = Job::new(Plan {
+            pools: (0..pools).map(pool_name).collect(),
+            connections: vec![10; pools],
+            floor,
+            attempts: 2,
+            repeatable,
+            goal: GOAL,
+            arrived: start,
+            deadline: start + DEADLINE,
+        });
+        let rng = ChaCha8Rng::seed_from_u64(1);
+        Case { start, at: Duration::ZERO, pools: all, job, rng }
+    }
+
+    fn now(&self) -> Instant {
+        self.start + self.at
+    }
+
+    fn at(&mut self, at: u64) -> &mut Case {
+        self.at = ms(at);
+        self
+    }
+
+    /// Pools that an attempt leaves to now, with its cause.
+    fn due(&mut self) -> Vec<(usize, Cause)> {
+        let now = self.now();
+        let due = self.job.due(now, &mut self.pools, &mut self.rng);
+        due.into_iter().map(|s| (s.part, s.cause)).collect()
+    }
+
+    fn end(&mut self, part: usize, end: End) -> &mut Case {
+        self.job.ended(part, end);
+        self
+    }
+
+    fn verdict(&self) -> Option<Verdict> {
+        self.job.verdict(self.now())
+    }
+}
+
+fn failed(fate: Fate, reason: Reason) -> Option<Verdict> {
+    Some(Verdict::Failed { fate, reason })
+}
+
+#[test]
+fn each_pool_is_asked_once_and_the_answer_is_whole() {
+    let mut case = Case::new(3, 3, 3, 100.0, true);
+    let firsts = [(0, Cause::First), (1, Cause::First), (2, Cause::First)];
+    assert_eq!(case.due(), firsts);
+    assert_eq!(case.at(5).end(0, OK).end(1, OK).verdict(), None);
+    assert_eq!(case.end(2, OK).verdict(), Some(Verdict::Whole));
+}
+
+#[test]
+fn a_second_attempt_leaves_while_the_goal_can_still_be_met() {
+    let mut case = Case::new(2, 3, 2, 100.0, true);
+    case.due();
+    case.end(0, OK);
+    assert_eq!(case.at(29).due(), []);
+    let wake = case.job.wake(case.now());
+    assert!(wake <= case.start + ms(31), "it wakes for the second attempt");
+    assert_eq!(case.at(31).due(), [(1, Cause::Slow)]);
+    assert_eq!(case.at(80).due(), [], "two upstreams are all");
+    // The first reply counts, whichever attempt it is of.
+    assert_eq!(case.end(1, OK).verdict(), Some(Verdict::Whole));
+}
+
+#[test]
+fn an_attempt_that_ended_without_a_reply_is_followed_at_once() {
+    for end in [End::Refused, End::Unreached, End::Lost, End::Broken, End::Replaced, FAILURE] {
+        let mut case = Case::new(1, 3, 1, 100.0, true);
+        case.due();
+        case.at(2).end(0, end);
+        assert_eq!(case.due(), [(0, Cause::Ended(end))], "{end:?}");
+    }
+}
+
+#[test]
+fn a_request_that_may_run_once_is_sent_again_only_if_it_did_not_run() {
+    let check = |end: End, again: bool, expected: Option<Verdict>| {
+        let mut case = Case::new(1, 3, 1, 100.0, false);
+        case.due();
+        assert_eq!(case.at(50).due(), [], "no second attempt beside the first");
+        case.end(0, end);
+        assert_eq!(case.due().len(), usize::from(again), "{end:?}");
+        assert_eq!(case.verdict(), expected, "{end:?}");
+    };
+    check(End::Refused, true, None);
+    check(End::Unreached, true, None);
+    check(End::Replaced, true, None);
+    check(End::Lost, false, failed(Fate::MayHaveRun, Reason::Lost));
+    check(End::Broken, false, failed(Fate::MayHaveRun, Reason::BadReply));
+    check(End::Silent, false, failed(Fate::MayHaveRun, Reason::Unreachable));
+    check(FAILURE, false, failed(Fate::Ran, Reason::Failed));
+}
+
+#[test]
+fn what_was_refused_everywhere_has_not_run() {
+    let mut case = Case::new(1, 3, 1, 100.0, false);
+    case.due();
+    case.end(0, End::Refused).due();
+    case.end(0, End::Refused).due();
+    assert_eq!(case.verdict(), failed(Fate::NotRun, Reason::Overload));
+}
+
+#[test]
+fn a_request_with_one_attempt_out_is_not_said_not_to_have_run() {
+    let mut case = Case::new(2, 1, 2, 100.0, true);
+    case.due();
+    case.end(0, End::Refused).due();
+    assert_eq!(case.verdict(), failed(Fate::MayHaveRun, Reason::Overload));
+}
+
+#[test]
+fn an_answer_that_lacks_a_pool_leaves_before_the_goal() {
+    let mut case = Case::new(3, 3, 2, 0.0, true);
+    case.due();
+    case.at(10).end(0, OK).end(1, OK);
+    assert_eq!(case.at(89).verdict(), None, "the third may still come in time");
+    assert_eq!(case.at(90).verdict(), Some(Verdict::Partial));
+}
+
+#[test]
+fn below_the_floor_a_search_ends_once_no_reply_can_come_any_more() {
+    let mut case = Case::new(3, 3, 2, 0.0, true);
+    case.due();
+    case.end(0, OK);
+    assert_eq!(case.at(110).verdict(), None, "a reply of the goal may be on its way");
+    assert_eq!(case.at(125).verdict(), failed(Fate::Ran, Reason::Deadline));
+    assert_eq!(case.end(1, OK).verdict(), Some(Verdict::Partial));
+    let mut case = Case::new(1, 3, 1, 0.0, true);
+    case.due();
+    assert_eq!(case.at(985).verdict(), None, "a request to one upstream has its whole time");
+    assert_eq!(case.at(995).verdict(), failed(Fate::MayHaveRun, Reason::Deadline));
+}
+
+#[test]
+fn a_short_goal_keeps_time_for_the_way_back() {
+    let mut case = Case::new(2, 1, 1, 0.0, true);
+    case.job = Job::new(Plan { goal: ms(60), ..case.job.plan().clone() });
+    case.due();
+    case.end(0, OK);
+    assert_eq!(case.at(49).verdict(), None);
+    assert_eq!(case.at(50).verdict(), Some(Verdict::Partial));
+}
+
+#[test]
+fn parts_of_a_search_end_at_its_goal_and_none_is_sent_after_it() {
+    let mut case = Case::new(2, 3, 2, 100.0, true);
+    case.due();
+    let until = case.job.useful_until();
+    assert!(until >= case.start + ms(90) && until <= case.start + GOAL, "{:?}", until);
+    case.at(95).end(0, End::Refused);
+    assert_eq!(case.due(), []);
+    assert_eq!(case.verdict(), failed(Fate::MayHaveRun, Reason::Overload));
+    // A request to one upstream has its whole time.
+    let single = Case::new(1, 3, 1, 100.0, true);
+    assert_eq!(single.job.useful_until(), single.start + DEADLINE);
+}
+
+#[test]
+fn a_request_that_cannot_reach_its_floor_is_given_up_at_once() {
+    let mut case = Case::new(3, 1, 2, 0.0, true);
+    case.due();
+    case.at(3).end(0, End::Lost).end(1, End::Lost);
+    case.due();
+    assert_eq!(case.verdict(), failed(Fate::MayHaveRun, Reason::Lost));
+}
+
+#[test]
+fn nothing_is_sent_where_no_upstream_is_known() {
+    let mut case = Case::new(2, 0, 2, 100.0, true);
+    assert_eq!(case.due(), []);
+    assert_eq!(case.verdict(), failed(Fate::NotRun, Reason::Unreachable));
+}
+
+#[test]
+fn without_budget_there_is_no_second_attempt() {
+    let mut case = Case::new(1, 3, 1, 0.0, true);
+    case.due();
+    assert_eq!(case.at(70).due(), []);
+    assert!(case.job.denied() > 0);
+    // Nor a retry, and then nothing is left to wait for.
+    case.end(0, End::Refused).due();
+    assert_eq!(case.verdict(), failed(Fate::NotRun, Reason::Overload));
+}
+
+#[test]
+fn a_late_reply_of_a_pool_that_has_replied_is_not_used_again() {
+    let mut case = Case::new(2, 3, 2, 100.0, true);
+    case.due();
+    case.at(40).due();
+    assert!(case.job.ended(0, OK));
+    assert!(!case.job.ended(0, OK));
+    assert_eq!(case.verdict(), None, "the other pool has not replied");
+}
--- /dev/null
+++ b/crates/policy/tests/relay_pool.rs
@@ -0,0 +1,193 @@
+//! Choice of the upstream for an attempt.
+
+use std::time::{Duration, Instant};
+
+use base::{id, unit::Revision};
+use policy::relay::{
+    pool::Pools,
+    registry::{Change, Entry, Event, Registry},
+    spend::Bound,
+    upstream::End,
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+const BOUND: Bound = Bound { ratio: 0.2, slack: 100.0, window: Duration::from_secs(10) };
+const OK: End = End::Reply { success: true };
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// Three upstreams, the first in the node's own domain.
+struct Case {
+    now: Instant,
+    registry: Registry,
+    pools: Pools,
+    rng: ChaCha8Rng,
+}
+
+impl Case {
+    fn new() -> Case {
+        let now = Instant::now();
+        let mut registry = Registry::new(ms(3_000));
+        let events = ["near", "far", "farther"].iter().enumerate().map(|(n, name)| put(n, name));
+        registry.apply(now, events.collect(), Revision(3));
+        let mut pools = Pools::new("a".into(), BOUND, now);
+        pools.set_nodes(Some(3));
+        pools.sync(now, &registry);
+        Case { now, registry, pools, rng: ChaCha8Rng::seed_from_u64(1) }
+    }
+
+    fn choice(&mut self, tried: &[&str]) -> Option<policy::relay::pool::Choice> {
+        let seats: Vec<_> = tried.iter().map(|name| self.seat(name)).collect();
+        self.pools.choose(self.now, &pool(), &seats, 66, &mut self.rng)
+    }
+
+    fn chosen(&mut self) -> String {
+        self.choice(&[]).expect("an upstream").entry.instance.to_string()
+    }
+
+    /// The handle of the upstream `name`: what is chosen once the others are out.
+    fn seat(&mut self, name: &str) -> policy::relay::pool::Seat {
+        let mut tried = Vec::new();
+        loop {
+            let choice = self.pools.choose(self.now, &pool(), &tried, 66, &mut self.rng);
+            let choice = choice.expect("known");
+            if choice.entry.instance.to_string() == name {
+                return choice.seat;
+            }
+            tried.push(choice.seat);
+        }
+    }
+
+    /// Lets an attempt at `name` end after `after`.
+    fn attempt(&mut self, name: &str, after: Duration, end: End) {
+        let seat = self.seat(name);
+        self.pools.sent(self.now, seat);
+        let sent = self.now;
+        self.now += after;
+        self.pools.ended(self.now, seat, sent, end);
+    }
+}
+
+fn pool() -> id::Pool {
+    "p".parse().expect("name")
+}
+
+fn put(n: usize, name: &str) -> Event {
+    let entry = Entry {
+        instance: id::Instance(name.into()),
+        born_ms: 1,
+        pool: pool(),
+        address: format!("10.0.0.{}:80", n + 1).parse().expect("address"),
+        domain: if n == 0 { "a".into() } else { "b".into() },
+        slots: 3,
+        draining: false,
+        cold: Duration::ZERO,
+    };
+    Event { key: name.into(), revision: Revision(n as u64 + 1), change: Change::Put(entry) }
+}
+
+#[test]
+fn the_upstream_of_the_own_domain_is_chosen_where_nothing_speaks_against_it() {
+    let mut case = Case::new();
+    for _ in 0..50 {
+        assert_eq!(case.chosen(), "near");
+    }
+}
+
+#[test]
+fn what_speaks_against_an_upstream_moves_attempts_away_and_back_again() {
+    let check = |name: &str, after: Duration, end: End, times: usize, back: Duration| {
+        let mut case = Case::new();
+        for _ in 0..times {
+            case.attempt("near", after, end);
+        }
+        assert_ne!(case.chosen(), "near", "{name}");
+        case.now += back;
+        assert_eq!(case.chosen(), "near", "{name}: it is tried again");
+    };
+    check("slow", ms(120), OK, 2, ms(4_500));
+    check("refuses", ms(1), End::Refused, 1, ms(200));
+    check("fails", ms(5), End::Reply { success: false }, 3, ms(6_000));
+    check("unreached", ms(5), End::Unreached, 1, ms(300));
+    check("loses", ms(5), End::Lost, 3, ms(6_000));
+}
+
+#[test]
+fn one_pause_does_not_move_attempts_away() {
+    let mut case = Case::new();
+    case.attempt("near", ms(10), OK);
+    case.attempt("near", ms(150), OK);
+    case.attempt("near", ms(10), OK);
+    assert_eq!(case.chosen(), "near");
+}
+
+#[test]
+fn an_upstream_with_an_overdue_attempt_is_avoided_and_known_to_be_stuck() {
+    let mut case = Case::new();
+    let seat = case.seat("near");
+    case.pools.sent(case.now, seat);
+    case.now += ms(100);
+    assert_ne!(case.chosen(), "near");
+    let choice = case.choice(&["far", "farther"]).expect("the only one left");
+    assert!(choice.stuck);
+}
+
+#[test]
+fn what_was_tried_is_not_chosen_again() {
+    let mut case = Case::new();
+    let second = case.choice(&["near"]).expect("another").entry.instance.to_string();
+    assert_ne!(second, "near");
+    assert!(case.choice(&["near", "far", "farther"]).is_none());
+}
+
+#[test]
+fn an_upstream_whose_address_was_taken_over_is_not_used_until_it_registers_anew() {
+    let mut case = Case::new();
+    case.attempt("near", ms(1), End::Replaced);
+    assert_ne!(case.chosen(), "near");
+    case.now += ms(60_000);
+    assert_ne!(case.chosen(), "near");
+    let Event { key, change: Change::Put(entry), .. } = put(0, "near") else { unreachable!() };
+    let entry = Entry { born_ms: 2, ..entry };
+    let event = Event { key, revision: Revision(9), change: Change::Put(entry) };
+    case.registry.apply(case.now, vec![event], Revision(9));
+    case.pools.sync(case.now, &case.registry);
+    assert_eq!(case.chosen(), "near", "a new process under the same name");
+}
+
+#[test]
+fn a_fading_upstream_serves_only_where_nobody_else_does() {
+    let mut case = Case::new();
+    let removed = Event { key: "near".into(), revision: Revision(9), change: Change::Removed };
+    case.registry.apply(case.now, vec![removed], Revision(9));
+    case.pools.sync(case.now, &case.registry);
+    assert_ne!(case.chosen(), "near");
+    let last = case.choice(&["far", "farther"]).expect("the last resort");
+    assert_eq!(last.entry.instance.to_string(), "near");
+}
+
+#[test]
+fn observations_survive_changes_of_others() {
+    let mut case = Case::new();
+    case.attempt("near", ms(120), OK);
+    case.attempt("near", ms(120), OK);
+    case.registry.apply(case.now, vec![put(3, "another")], Revision(4));
+    case.pools.sync(case.now, &case.registry);
+    assert_ne!(case.chosen(), "near");
+}
+
+#[test]
+fn connections_are_shared_among_the_nodes_that_may_exist() {
+    let check = |nodes: Option<usize>, limit: usize, expected: usize| {
+        let mut case = Case::new();
+        case.pools.set_nodes(nodes);
+        let choice = case.pools.choose(case.now, &pool(), &[], limit, &mut case.rng);
+        assert_eq!(choice.expect("an upstream").connections, expected);
+    };
+    check(Some(15), 66, 4);
+    check(Some(118), 110, 1);
+    check(None, 66, 66);
+}
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -19,7 +19,7 @@
 };
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
-use policy::relay::{pool::Seat, upstream::End};
+use policy::relay::{accusation, pool::Seat, upstream::End};
 use tokio::sync::Notify;
 
 use crate::{
@@ -40,6 +40,12 @@
 /// a new one: an upstream may have dropped an older one without notice.
 const FRESH: Duration = Duration::from_millis(400);
 
+/// Time between the loss of a connection and the look whether the upstream still accepts
+/// others: a crash is over in a moment, a start takes longer.
+const INVESTIGATE: Duration = Duration::from_millis(50);
+/// Requests that are suspected of one crash at most; more run at no upstream at a time.
+const SUSPECTS: usize = 64;
+
 type Sender = SendRequest<Full<Bytes>>;
 
 #[derive(Debug)]
@@ -60,6 +66,9 @@
 struct State {
     idle: VecDeque<Idle>,
     open: usize,
+    /// Requests that ran when a connection was lost, until it is known whether the upstream
+    /// has crashed.
+    suspects: Vec<accusation::Notice>,
 }
 
 /// Connections to all upstreams.
@@ -202,10 +211,10 @@
         let reply = codec.read_reply(id, &head);
         if reply.foreign {
             // What follows on this connection belongs to no request.
-            return Ended::without(End::Lost);
+            return Ended::without(End::Broken);
         }
         let Ok(body) = Limited::new(body, REPLY_LIMIT).collect().await else {
-            return Ended::without(End::Lost);
+            return Ended::without(End::Broken);
         };
         if sender.ready().await.is_ok() {
             self.put_back(sender, node.now(), reply.keep_alive);
@@ -240,6 +249,40 @@
         }
     }
 
+    /// Finds out whether the upstream at `address` has crashed after a connection was lost on
+    /// which the request of `notice` ran. Returns the requests to accuse: none if the upstream
+    /// still accepts connections, or if another call finds out already.
+    pub async fn investigate(
+        self: Arc<Links>,
+        node: Arc<Node>,
+        address: std::net::SocketAddr,
+        notice: accusation::Notice,
+    ) -> Vec<accusation::Notice> {
+        {
+            let suspects = &mut self.state.lock().suspects;
+            if suspects.len() >= SUSPECTS {
+                return Vec::new();
+            }
+            suspects.push(notice);
+            if suspects.len() > 1 {
+                return Vec::new();
+            }
+        }
+        tokio::time::sleep(INVESTIGATE).await;
+        let connected = match self.place(usize::MAX) {
+            Some(place) => connect(address, place).await,
+            None => None,
+        };
+        let suspects = std::mem::take(&mut self.state.lock().suspects);
+        match connected {
+            Some(sender) => {
+                self.put_back(sender, node.now(), None);
+                Vec::new()
+            }
+            None => suspects,
+        }
+    }
+
     fn take(&self, now: Instant, repeatable: bool) -> Option<Sender> {
         let mut state = self.state.lock();
         loop {
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -2,6 +2,7 @@
 
 use std::{
     hash::Hasher,
+    net::SocketAddr,
     sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
@@ -49,6 +50,8 @@
     part: usize,
     ended: Ended,
     upstream: id::Instance,
+    seat: Seat,
+    address: SocketAddr,
     after: Duration,
 }
 
@@ -273,8 +276,7 @@
             let due = node.with_rng(|rng| job.due(now, &mut node.pools.lock(), rng));
             for send in due {
                 self.tell_second(now, &job, &send);
-                let until = job.useful_until(now, send.part, &node.pools.lock());
-                attempts.push(self.attempt(now, send, until));
+                attempts.push(self.attempt(now, send, job.useful_until()));
             }
             if let Some(verdict) = job.verdict(now) {
                 break verdict;
@@ -296,7 +298,6 @@
             tokio::spawn(finish(attempts));
         }
         self.told = true;
-        job.settle(node.now(), &mut node.pools.lock());
         self.tell_end(&job, verdict);
         self.answer(&job, verdict, parts, refusal)
     }
@@ -374,16 +375,16 @@
         parts: &mut Vec<Received>,
         refusal: &mut Option<Received>,
     ) {
-        let Done { part, ended, upstream, after } = done;
+        let Done { part, ended, upstream, seat, address, after } = done;
         let mut end = ended.end;
         let whole = ended.received.as_ref().is_some_and(|r| r.reply.proof.is_some());
         if end == (End::Reply { success: true }) && !whole {
             // Without a signature it is not the upstream's.
-            end = End::Lost;
+            end = End::Broken;
         }
         self.tell_attempt(job, part, end, &upstream, after);
         if end == End::Lost {
-            self.accuse();
+            self.investigate(seat, address);
         }
         let used = job.ended(part, end);
         match ended.received {
@@ -409,6 +410,7 @@
             End::Replaced => "replaced",
             End::Unreached => "unreached",
             End::Lost => "lost",
+            End::Broken => "broken",
             End::Silent => "silent",
         };
         node.metrics.attempts.with_label_values(&[name]).inc();
@@ -424,23 +426,19 @@
         }
     }
 
-    fn accuse(&self) {
-        let node = &self.node;
-        let remaining_ms = accusation::EXPIRY.as_millis() as u32;
+    /// Accuses the request if the upstream that it ran at turns out to have crashed.
+    fn investigate(&self, seat: Seat, address: SocketAddr) {
+        let node = self.node.clone();
+        let links = node.links.links(seat);
         let notice = accusation::Notice {
             fingerprint: self.fingerprint,
             arrival: self.arrival,
-            remaining_ms,
+            remaining_ms: accusation::EXPIRY.as_millis() as u32,
         };
-        let now = node.now();
-        if node.accusations.lock().learn(now, notice) {
-            if node.journal.allows(now, Kind::Belief) {
-                let fingerprint = format!("{:016x}", self.fingerprint);
-                let request = self.request();
-                tracing::info!(request, fingerprint, "request accused of the loss of an upstream");
-            }
-            fleet::spread_news(node);
-        }
+        tokio::spawn(async move {
+            let guilty = links.investigate(node.clone(), address, notice).await;
+            accuse(&node, &guilty);
+        });
     }
 
     fn attempt(&self, now: Instant, send: Send, deadline: Instant) -> BoxFuture<'static, Done> {
@@ -456,14 +454,15 @@
         let upstream = choice.entry.instance.clone();
         let node = self.node.clone();
         let links = node.links.links(choice.seat);
-        let mut guard = Guard { node: node.clone(), seat: choice.seat, sent: now, end: None };
+        let seat = choice.seat;
+        let mut guard = Guard { node: node.clone(), seat, sent: now, end: None };
         let address = choice.entry.address.0;
         Box::pin(async move {
             let ended = links.send(node, address, choice.connections, message).await;
             guard.end = Some(ended.end);
             let after = guard.node.now().saturating_duration_since(now);
             drop(guard);
-            Done { part, ended, upstream, after }
+            Done { part, ended, upstream, seat, address, after }
         })
     }
 
@@ -506,6 +505,24 @@
     }
 }
 
+fn accuse(node: &Node, notices: &[accusation::Notice]) {
+    let now = node.now();
+    let news = {
+        let mut book = node.accusations.lock();
+        // Every accusation is to be learned, so no short circuit.
+        notices.iter().filter(|n| book.learn(now, **n)).count()
+    };
+    if news == 0 {
+        return;
+    }
+    if node.journal.allows(now, Kind::Belief) {
+        let named = notices.iter().map(|n| format!("{:016x}", n.fingerprint));
+        let fingerprints = named.collect::<Vec<_>>().join(" ");
+        tracing::warn!(fingerprints, "requests accused of crashing an upstream");
+    }
+    fleet::spread_news(node);
+}
+
 /// Waits for attempts that nobody needs any more, and then drops them with their connections.
 async fn finish(mut attempts: Attempts) {
     let all = async { while attempts.next().await.is_some() {} };
