A starting node reads the platform at once

Cause: after all processes were killed, nodes that are nobody's seed waited 0.3 to 0.45 s for peers that had only just started themselves (logs of both first incidents: started at 34.9 s, serving from 35.35 s). Change: they read at once, at the lower price of a read that may be some seconds old, and take what is newer from peers or their own watch.

--- a/crates/balsamgate/tests/fleet/proxy.rs
+++ b/crates/balsamgate/tests/fleet/proxy.rs
@@ -37,8 +37,7 @@
     pub(crate) async fn start() -> Proxy {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("bound");
-        let proxy =
-            Proxy { mode: watch::Sender::new(Mode::Pass), target: Arc::default(), address };
+        let proxy = Proxy { mode: watch::Sender::new(Mode::Pass), target: Arc::default(), address };
         let serving = proxy.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
--- a/crates/relay/src/catalog.rs
+++ b/crates/relay/src/catalog.rs
@@ -32,8 +32,9 @@
 const STALE_SHARE: f64 = 0.6;
 /// Time between two looks of a node that relies on others at whether it still can.
 const RELY: Duration = Duration::from_millis(200);
-/// Time that a starting node which is nobody's seed waits for peers to tell it everything.
-const START_DELAY: Duration = Duration::from_millis(300);
+/// Time after its start that a node which is nobody's seed relies on its first, cheaper read
+/// and on what peers tell beyond it.
+const SETTLE: Duration = Duration::from_millis(600);
 /// Time between a watch that told something and the next: each call has its price, and
 /// upstreams of a fleet that starts register one by one. Well under the 3 s within which a
 /// configuration is to be in force.
@@ -52,7 +53,6 @@
     let mut whole = true;
     while !cancel.is_cancelled() {
         if relies_on_others(&node) {
-            whole &= !node.informed.load(Ordering::Relaxed);
             tokio::time::sleep(RELY).await;
             continue;
         }
@@ -95,14 +95,20 @@
     0.75 + 0.5 * (node.random() as f64 / u64::MAX as f64)
 }
 
+fn is_seed(node: &Node) -> bool {
+    let own = node.settings.callers.ip();
+    node.settings.seeds.iter().any(|s| s.ip() == own)
+}
+
 /// Whether the node may leave it to others to follow the platform.
 fn relies_on_others(node: &Node) -> bool {
     let now = node.now();
     if !node.informed.load(Ordering::Relaxed) {
-        let own = node.settings.callers.ip();
-        let is_seed = node.settings.seeds.iter().any(|s| s.ip() == own);
-        let age = now.saturating_duration_since(node.born);
-        return !is_seed && age < START_DELAY.mul_f64(jitter(node));
+        return false;
+    }
+    let age = now.saturating_duration_since(node.born);
+    if !is_seed(node) && age < SETTLE.mul_f64(jitter(node)) {
+        return true;
     }
     if fleet::is_watcher(node) {
         return false;
@@ -120,9 +126,12 @@
 
 async fn look(node: &Arc<Node>, whole: bool) -> Result<(), SourceError> {
     if whole {
-        let changes = node.source.read().await?;
+        let stale = !is_seed(node) && !node.informed.load(Ordering::Relaxed);
+        let changes = node.source.read(stale).await?;
         learn(node, changes, true);
-        hear_word(node, Some(node.now()));
+        if !stale {
+            hear_word(node, Some(node.now()));
+        }
         return Ok(());
     }
     let after = node.registry.lock().revision();
--- a/crates/relay/src/edge.rs
+++ b/crates/relay/src/edge.rs
@@ -97,8 +97,9 @@
 
 /// The platform's service, which is only read.
 pub trait Source: fmt::Debug + Send + Sync {
-    /// Reads everything as it is now.
-    fn read(&self) -> Pending<'_, Result<Changes, SourceError>>;
+    /// Reads everything as it is now; with `stale`, as it was up to some seconds ago, which
+    /// costs the platform less.
+    fn read(&self, stale: bool) -> Pending<'_, Result<Changes, SourceError>>;
 
     /// Waits up to `wait` for changes after `after`.
     fn watch(&self, after: Revision, wait: Duration) -> Pending<'_, Result<Changes, SourceError>>;
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -314,8 +314,9 @@
             let after_ms = now.saturating_duration_since(self.arrived).as_millis() as u64;
             let upstream = &send.choice.entry.instance;
             let stuck = send.choice.stuck;
+            let ended = ended.map(end_name);
             tracing::info!(
-                request = self.request(), %pool, cause, ?ended, %upstream, stuck, after_ms,
+                request = self.request(), %pool, cause, ended, %upstream, stuck, after_ms,
                 "second attempt"
             );
         }
@@ -351,7 +352,7 @@
             route = self.route.name.as_str(),
             outcome,
             reason,
-            ?fate,
+            fate = fate.map(|f| format!("{f:?}")),
             replied = job.replied(),
             pools = job.plan().pools.len(),
             floor = job.plan().floor,
@@ -403,16 +404,7 @@
         after: Duration,
     ) {
         let node = &self.node;
-        let name = match end {
-            End::Reply { success: true } => "reply",
-            End::Reply { success: false } => "failure",
-            End::Refused => "refused",
-            End::Replaced => "replaced",
-            End::Unreached => "unreached",
-            End::Lost => "lost",
-            End::Broken => "broken",
-            End::Silent => "silent",
-        };
+        let name = end_name(end);
         node.metrics.attempts.with_label_values(&[name]).inc();
         if end == (End::Reply { success: true }) {
             node.metrics.attempt_seconds.observe(after.as_secs_f64());
@@ -505,6 +497,19 @@
     }
 }
 
+fn end_name(end: End) -> &'static str {
+    match end {
+        End::Reply { success: true } => "reply",
+        End::Reply { success: false } => "failure",
+        End::Refused => "refused",
+        End::Replaced => "replaced",
+        End::Unreached => "unreached",
+        End::Lost => "lost",
+        End::Broken => "broken",
+        End::Silent => "silent",
+    }
+}
+
 fn accuse(node: &Node, notices: &[accusation::Notice]) {
     let now = node.now();
     let news = {
