--- a/crates/balsamgate/src/main.rs
+++ b/crates/balsamgate/src/main.rs
@@ -6,7 +6,7 @@
 use std::{path::PathBuf, process::ExitCode};
 
 use bpaf::Bpaf;
-use config::settings::{HELP, Settings};
+use config::settings::{HELP, Help, Settings};
 use eyre::WrapErr;
 use node::server::Server;
 use tokio::signal::unix::{SignalKind, signal};
@@ -32,10 +32,17 @@
     },
     /// Lists every setting with its unit, range and default.
     #[bpaf(command)]
-    Settings,
+    Settings {
+        /// Those of a node that relays requests
+        #[bpaf(long)]
+        relay: bool,
+    },
     /// Checks a settings file without running a node.
     #[bpaf(command)]
     Check {
+        /// The file is one of a node that relays requests
+        #[bpaf(long)]
+        relay: bool,
         /// Settings of the node, in INI
         #[bpaf(long, short, argument("FILE"))]
         settings: PathBuf,
@@ -54,16 +61,18 @@
 
 fn execute(command: Command) -> eyre::Result<()> {
     match command {
-        Command::Settings => {
-            list_settings();
+        Command::Settings { relay } => {
+            list_settings(if relay { config::relay::HELP } else { HELP });
             Ok(())
         }
-        Command::Check { settings } => read(&settings).map(|_| println!("settings are valid")),
-        Command::Run { settings } => run(read(&settings)?),
-        Command::Relay { settings } => {
-            let settings = read_relay(&settings)?;
-            relay::run(settings)
+        Command::Check { relay: true, settings } => {
+            relay::read(&settings).map(|_| println!("settings are valid"))
         }
+        Command::Check { relay: false, settings } => {
+            read(&settings).map(|_| println!("settings are valid"))
+        }
+        Command::Run { settings } => run(read(&settings)?),
+        Command::Relay { settings } => relay::run(&settings),
     }
 }
 
@@ -73,14 +82,8 @@
     Ok(Settings::parse(&name, &text)?)
 }
 
-fn read_relay(path: &PathBuf) -> eyre::Result<config::relay::Settings> {
-    let name = path.display().to_string();
-    let text = std::fs::read_to_string(path).wrap_err_with(|| name.clone())?;
-    Ok(config::relay::Settings::parse(&name, &text)?)
-}
-
-fn list_settings() {
-    for help in HELP {
+fn list_settings(settings: &[Help]) {
+    for help in settings {
         println!("{}", help.field);
         println!("    {}", help.text);
         println!("    allowed: {}", help.allowed);
--- a/crates/balsamgate/src/relay.rs
+++ b/crates/balsamgate/src/relay.rs
@@ -1,6 +1,10 @@
 //! `balsamgate relay`: a node that relays requests on the users' platform.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    path::Path,
+    sync::Arc,
+    time::{Duration, SystemTime},
+};
 
 use base::{
     clock::{Anchored, Boot, Clock},
@@ -32,19 +36,30 @@
 /// Bits of an incarnation that are random.
 const INCARNATION_RANDOM_BITS: u32 = 16;
 
-/// Runs a node until it is told to stop.
-pub(crate) fn run(settings: Settings) -> eyre::Result<()> {
+/// Time between two looks at whether the settings file has changed without a signal.
+const RELOAD: Duration = Duration::from_secs(5);
+
+/// Reads settings from the file at `path`.
+pub(crate) fn read(path: &Path) -> eyre::Result<Settings> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).wrap_err_with(|| name.clone())?;
+    Ok(Settings::parse(&name, &text)?)
+}
+
+/// Runs a node with the settings at `path` until it is told to stop.
+pub(crate) fn run(path: &Path) -> eyre::Result<()> {
+    let settings = read(path)?;
     // Held until the end, so that the last lines are written.
     let _log = observe::start_json_log(&settings.log_level)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(serve(settings))
+    runtime.block_on(serve(path, settings))
 }
 
 fn listen(what: &str, address: std::net::SocketAddr) -> eyre::Result<TcpListener> {
     socket::listen(address).wrap_err_with(|| format!("{what} address {address}"))
 }
 
-async fn serve(settings: Settings) -> eyre::Result<()> {
+async fn serve(path: &Path, settings: Settings) -> eyre::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
@@ -84,11 +99,14 @@
         start(Arc::new(front::Metrics(node.clone())), metrics, &cancel, &others);
     }
 
+    let mut file = FileWatch::new(path);
+    let mut looks = tokio::time::interval(RELOAD);
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = hangup.recv() => tracing::info!("told that the settings changed"),
+            _ = hangup.recv() => reload(&node, path, "signal"),
+            _ = looks.tick() => if file.has_changed() { reload(&node, path, "file changed") },
         }
     }
     tracing::info!(grace_ms = grace.as_millis() as u64, "stopping");
@@ -106,3 +124,35 @@
     tracing::info!("stopped");
     Ok(())
 }
+
+fn reload(node: &Node, path: &Path, cause: &str) {
+    match read(path) {
+        Ok(settings) => {
+            let needs_restart = node.reload(&settings);
+            tracing::info!(cause, needs_restart, "settings read again");
+        }
+        Err(e) => tracing::error!(cause, error = %e, "settings not usable; the old ones stay"),
+    }
+}
+
+/// Sees changes of a file by its time of modification.
+struct FileWatch<'a> {
+    path: &'a Path,
+    modified: Option<SystemTime>,
+}
+
+impl FileWatch<'_> {
+    fn new(path: &Path) -> FileWatch<'_> {
+        let mut watch = FileWatch { path, modified: None };
+        watch.has_changed();
+        watch
+    }
+
+    fn has_changed(&mut self) -> bool {
+        // A file that cannot be looked at now is looked at again.
+        let modified = std::fs::metadata(self.path).and_then(|m| m.modified()).ok();
+        let changed = modified.is_some() && modified != self.modified;
+        self.modified = modified.or(self.modified);
+        changed
+    }
+}
--- a/crates/balsamgate/tests/relay.rs
+++ b/crates/balsamgate/tests/relay.rs
@@ -290,7 +290,9 @@
     .await;
     let lines = of("why-partial");
     let end = lines.iter().find(|l| l.contains("\"outcome\"")).expect("an end");
-    for part in ["\"missing\":\"shard-1\"", "\"generation\":\"1\"", "\"revision\"", "word_age_ms"] {
+    for part in
+        ["\"missing\":\"shard-1(i-shard-1-", "\"generation\":\"1\"", "\"revision\"", "word_age_ms"]
+    {
         assert!(end.contains(part), "{part} in {end}");
     }
     assert!(lines.iter().any(|l| l.contains("\"end\":\"refused\"")), "{lines:?}");
--- a/crates/policy/src/relay/job.rs
+++ b/crates/policy/src/relay/job.rs
@@ -97,6 +97,8 @@
 #[derive(Debug, Default)]
 struct Part {
     tried: Vec<Seat>,
+    /// The upstreams at `tried`.
+    asked: Vec<id::Instance>,
     open: usize,
     replied: bool,
     fate: Option<Fate>,
@@ -143,10 +145,10 @@
         self.parts.iter().map(|p| p.tried.len()).sum()
     }
 
-    /// Pools that have not replied.
-    pub fn missing(&self) -> impl Iterator<Item = &id::Pool> {
+    /// Pools that have not replied, with the upstreams that were asked.
+    pub fn missing(&self) -> impl Iterator<Item = (&id::Pool, &[id::Instance])> {
         let without = self.parts.iter().zip(&self.plan.pools).filter(|(p, _)| !p.replied);
-        without.map(|(_, pool)| pool)
+        without.map(|(part, pool)| (pool, part.asked.as_slice()))
     }
 
     /// Whether the pool at index `part` still needs a reply.
@@ -224,6 +226,7 @@
         }
         pools.sent(now, choice.seat);
         part.tried.push(choice.seat);
+        part.asked.push(choice.entry.instance.clone());
         part.open += 1;
         let share = if choice.stuck { SECOND_STUCK } else { SECOND };
         let spent = 1.0 - pools.fill(now, pool);
--- a/crates/policy/src/relay/pool.rs
+++ b/crates/policy/src/relay/pool.rs
@@ -94,6 +94,12 @@
         }
     }
 
+    /// Sets the bound on second attempts from now on; what was spent counts against it.
+    pub fn set_bound(&mut self, bound: Bound) {
+        self.bound = bound;
+        self.pools.values_mut().for_each(|p| p.purse.set_bound(bound));
+    }
+
     /// Sets the number of nodes that may exist at once, this one included.
     pub fn set_nodes(&mut self, nodes: Option<usize>) {
         self.nodes = nodes;
--- a/crates/policy/src/relay/registry.rs
+++ b/crates/policy/src/relay/registry.rs
@@ -106,6 +106,11 @@
         }
     }
 
+    /// Sets the time within which an upstream that leaves must get no more work.
+    pub fn set_drain(&mut self, drain: Duration) {
+        self.fade = FADE.min(drain * 2 / 3);
+    }
+
     /// The history is known up to here.
     pub fn revision(&self) -> Revision {
         self.revision
--- a/crates/policy/src/relay/spend.rs
+++ b/crates/policy/src/relay/spend.rs
@@ -42,6 +42,11 @@
         Purse { bound, born, steps: [(0, 0); STEPS], at: 0, step_began: now }
     }
 
+    /// Sets the bound from now on. The window keeps its length.
+    pub fn set_bound(&mut self, bound: Bound) {
+        self.bound = Bound { window: self.bound.window, ..bound };
+    }
+
     /// Records an ordinary request.
     pub fn earn(&mut self, now: Instant) {
         self.advance(now);
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -342,7 +342,7 @@
         if !node.journal.allows(now, kind) {
             return;
         }
-        let missing: Vec<&str> = job.missing().map(id::Pool::as_str).collect();
+        let missing: Vec<String> = job.missing().map(missing).collect();
         let missing = missing.join(" ");
         let revision = node.registry.lock().revision();
         let word_age_ms = node.word_age().map(|age| age.as_millis() as u64);
@@ -497,6 +497,12 @@
     }
 }
 
+/// A pool without a reply and the upstreams that were asked: `pool(upstream,upstream)`.
+fn missing((pool, asked): (&id::Pool, &[id::Instance])) -> String {
+    let asked: Vec<&str> = asked.iter().map(|i| i.0.as_str()).collect();
+    format!("{pool}({})", asked.join(","))
+}
+
 fn end_name(end: End) -> &'static str {
     match end {
         End::Reply { success: true } => "reply",
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -102,11 +102,7 @@
         seed: u64,
     ) -> Node {
         let now = clock.now();
-        let bound = Bound {
-            ratio: settings.extra_ratio,
-            slack: settings.extra_slack,
-            window: settings.extra_window,
-        };
+        let bound = bound(&settings);
         let domain = SmolStr::new(settings.domain.as_str());
         let own = Record {
             node: id::Node(settings.peers),
@@ -119,9 +115,7 @@
             capacity: settings.capacity,
         };
         let mut fleet = Fleet::new(own);
-        let port = settings.peers.port();
-        let seeds = settings.seeds.iter().map(|s| id::Node(SocketAddr::new(s.ip(), port)));
-        fleet.list(seeds.collect());
+        fleet.list(seeds(&settings));
         Node {
             codec,
             source,
@@ -152,6 +146,22 @@
         }
     }
 
+    /// Takes over what may change while the process runs: seeds, the bound on second attempts
+    /// and the drain time. Returns whether anything else differs, which needs a restart.
+    pub fn reload(&self, settings: &Settings) -> bool {
+        self.fleet.lock().list(seeds(settings));
+        self.pools.lock().set_bound(bound(settings));
+        self.registry.lock().set_drain(settings.drain);
+        let live = Settings {
+            seeds: settings.seeds.clone(),
+            extra_ratio: settings.extra_ratio,
+            extra_slack: settings.extra_slack,
+            drain: settings.drain,
+            ..self.settings.clone()
+        };
+        live != *settings
+    }
+
     /// The current instant, suspensions included.
     pub fn now(&self) -> Instant {
         self.clock.now()
@@ -214,3 +224,17 @@
         self.leaving.load(Ordering::Relaxed)
     }
 }
+
+fn bound(settings: &Settings) -> Bound {
+    Bound {
+        ratio: settings.extra_ratio,
+        slack: settings.extra_slack,
+        window: settings.extra_window,
+    }
+}
+
+/// Nodes to ask for the others; all nodes use the same port for their peers.
+fn seeds(settings: &Settings) -> Vec<id::Node> {
+    let port = settings.peers.port();
+    settings.seeds.iter().map(|s| id::Node(SocketAddr::new(s.ip(), port))).collect()
+}
