--- a/crates/policy/src/relay/pool.rs
+++ b/crates/policy/src/relay/pool.rs
@@ -39,6 +39,9 @@
 const DOWN: Duration = Duration::from_secs(4);
 /// Added for an upstream whose entry has gone.
 const FADING: Duration = Duration::from_secs(8);
+/// Share of the connections that an upstream accepts which nodes divide among themselves. The
+/// rest is for processes that replace others, and for nodes that serve a caller now and then.
+const CONNECTIONS: f64 = 0.75;
 /// Spread of random additions, so that nodes do not choose alike.
 const JITTER: Duration = Duration::from_millis(2);
 
@@ -174,7 +177,8 @@
             }
         }
         let (_, seat, upstream) = best?;
-        let connections = (limit / self.nodes.unwrap_or(1).max(1)).max(1);
+        let share = limit as f64 * CONNECTIONS / self.nodes.unwrap_or(1).max(1) as f64;
+        let connections = (share as usize).max(1);
         let stuck = self.is_stuck(now, &upstream.stats);
         Some(Choice { seat, entry: upstream.entry.clone(), connections, stuck })
     }
--- a/crates/relay/src/catalog.rs
+++ b/crates/relay/src/catalog.rs
@@ -29,12 +29,16 @@
 const WATCH_SHARE: f64 = 0.35;
 /// The same share as the age of the platform's last word at which a node that relies on others
 /// looks for itself.
-const STALE_SHARE: f64 = 0.6;
+const STALE_SHARE: f64 = 0.75;
 /// Time between two looks of a node that relies on others at whether it still can.
 const RELY: Duration = Duration::from_millis(200);
 /// Time after its start that a node which is nobody's seed relies on its first, cheaper read
 /// and on what peers tell beyond it.
 const SETTLE: Duration = Duration::from_millis(600);
+/// Time after its start for which a node that hears of the platform's word from peers relies on
+/// them: until then it does not know how many there are. Deployments hold a VM to their bounds
+/// from 4 s after its start on.
+const NEWCOMER: Duration = Duration::from_secs(3);
 /// Time between a watch that told something and the next: each call has its price, and
 /// upstreams of a fleet that starts register one by one. Well under the 3 s within which a
 /// configuration is to be in force.
@@ -110,12 +114,12 @@
     if !is_seed(node) && age < SETTLE.mul_f64(jitter(node)) {
         return true;
     }
-    if fleet::is_watcher(node) {
-        return false;
-    }
-    let stale = node.settings.apply.mul_f64(STALE_SHARE * jitter(node));
+    // Not all at once, but none later than its share.
+    let spread = 1.0 - 0.2 * (node.random() as f64 / u64::MAX as f64);
+    let stale = node.settings.apply.mul_f64(STALE_SHARE * spread);
     let word = *node.word.lock();
-    word.is_some_and(|at| now.saturating_duration_since(at) < stale)
+    let told = word.is_some_and(|at| now.saturating_duration_since(at) < stale);
+    told && (age < NEWCOMER || !fleet::is_watcher(node))
 }
 
 /// Records that the platform has spoken at `word`, and that this node knows all it said.
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -34,6 +34,9 @@
 const REPLY_LIMIT: usize = 8 << 20;
 /// Time for which a connection is kept idle if the upstream does not say for how long.
 const IDLE: Duration = Duration::from_secs(20);
+/// The same for a node that callers are not told to use: its connections would take the place
+/// of others' who need them.
+const IDLE_BRIEF: Duration = Duration::from_millis(300);
 /// Kept of the time for which the upstream keeps an idle connection, for requests on the way.
 const IDLE_MARGIN: f64 = 0.7;
 /// A request that may run only once goes on a connection that was used within this time, or on
@@ -183,7 +186,7 @@
         // Looked at again here: the process may have been suspended since the decision to send.
         let left = message.deadline.saturating_duration_since(now);
         if left.is_zero() {
-            self.put_back(sender, now, None);
+            self.put_back(&node, sender, None);
             return Ended::without(End::Unreached);
         }
         let Message { mut request, id, instance, .. } = message;
@@ -217,7 +220,7 @@
             return Ended::without(End::Broken);
         };
         if sender.ready().await.is_ok() {
-            self.put_back(sender, node.now(), reply.keep_alive);
+            self.put_back(node, sender, reply.keep_alive);
         }
         let end = match reply.kind {
             ReplyKind::Ran => End::Reply { success: head.status.is_success() },
@@ -276,7 +279,7 @@
         let suspects = std::mem::take(&mut self.state.lock().suspects);
         match connected {
             Some(sender) => {
-                self.put_back(sender, node.now(), None);
+                self.put_back(&node, sender, None);
                 Vec::new()
             }
             None => suspects,
@@ -305,8 +308,10 @@
         Some(Place(self.clone()))
     }
 
-    fn put_back(&self, sender: Sender, now: Instant, keep_alive: Option<Duration>) {
-        let until = now + keep_alive.map_or(IDLE, |k| k.mul_f64(IDLE_MARGIN));
+    fn put_back(&self, node: &Node, sender: Sender, keep_alive: Option<Duration>) {
+        let now = node.now();
+        let allowed = keep_alive.map_or(IDLE, |k| k.mul_f64(IDLE_MARGIN));
+        let until = now + if node.is_carrier() { allowed } else { allowed.min(IDLE_BRIEF) };
         self.state.lock().idle.push_back(Idle { sender, since: now, until });
         self.returned.notify_one();
     }
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -203,6 +203,7 @@
     let coverage = node.registry.lock().coverage();
     let carriers = naming::carriers(&candidates);
     let carries = carriers.iter().any(|c| c.address == node.settings.callers);
+    node.carrier.store(carries || carriers.len() == candidates.len(), Ordering::Relaxed);
     // Dead ones count: a process may come back on their VM at any moment.
     let all = view.len() + 1;
     let nodes = match carriers.len() < candidates.len() && carries {
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -80,6 +80,8 @@
     pub(crate) word: Mutex<Option<Instant>>,
     /// Nodes that callers may be told to use, and what each failure domain has.
     pub(crate) names: ArcSwap<Names>,
+    /// Whether callers may be told to use this node.
+    pub(crate) carrier: AtomicBool,
     /// When the process started.
     pub(crate) born: Instant,
     /// Socket for heartbeats, once it is open.
@@ -138,6 +140,7 @@
             serving: AtomicUsize::new(0),
             word: Mutex::default(),
             names: ArcSwap::default(),
+            carrier: AtomicBool::new(true),
             born: now,
             outbox: ArcSwapOption::empty(),
             catching_up: AtomicBool::new(false),
@@ -219,6 +222,11 @@
         self.leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Whether callers may be told to use this node; so it is until others are known.
+    pub fn is_carrier(&self) -> bool {
+        self.carrier.load(Ordering::Relaxed)
+    }
+
     /// Whether the node is stopping.
     pub fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
