--- a/crates/policy/src/relay/route.rs
+++ b/crates/policy/src/relay/route.rs
@@ -58,9 +58,7 @@
     pub head: usize,
     /// Bytes of a request's body.
     pub body: usize,
-    /// Time to send a head.
-    pub head_time: Duration,
-    /// Time for which a connection may stay idle.
+    /// Time for which a connection may stay idle, a head that comes slowly included.
     pub idle: Duration,
 }
 
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use base::{id, unit::Generation};
+use base::id;
 use bytes::Bytes;
 use futures::{StreamExt, future::BoxFuture, stream::FuturesUnordered};
 use http::{HeaderValue, Request, Response, StatusCode, header, request};
@@ -17,7 +17,7 @@
     outcome::{Fate, Reason},
     relay::{
         accusation,
-        job::{Cause, Job, Plan, Send, Verdict},
+        job::{Job, Plan, Send, Verdict},
         merge,
         pool::Seat,
         route::{Route, Table, Target},
@@ -31,6 +31,7 @@
     fleet,
     journal::Kind,
     node::Node,
+    story::{self, Story},
 };
 
 /// Longest sleep of a request, so that it sees soon that the VM was suspended.
@@ -66,6 +67,27 @@
     }
 }
 
+/// Bytes of a request's body that count against the node's bound until it is answered.
+struct Held {
+    node: Arc<Node>,
+    bytes: usize,
+}
+
+impl Held {
+    /// Takes `bytes`, if the bound has room.
+    fn take(node: &Arc<Node>, bytes: usize) -> Option<Held> {
+        let before = node.buffered.fetch_add(bytes, Ordering::Relaxed);
+        let held = Held { node: node.clone(), bytes };
+        (bytes == 0 || before + bytes <= node.settings.buffer).then_some(held)
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.node.buffered.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
+
 /// Answers a caller's request.
 pub async fn serve(node: Arc<Node>, request: Request<Incoming>) -> Response<Body> {
     let arrived = node.now();
@@ -73,7 +95,7 @@
     let others = node.serving.fetch_add(1, Ordering::Relaxed);
     let _serving = Serving(node.clone());
     let refuse = |reason, retry| {
-        refused(&node, &head, reason);
+        story::refused(&node, &head, reason);
         answer::failed(Fate::NotRun, reason, Some(retry))
     };
     if others >= node.settings.requests {
@@ -84,26 +106,32 @@
     };
     let host = host(&head);
     let Some(route) = table.find(&host, head.uri.path()).cloned() else {
-        rejected(&node, &head, StatusCode::NOT_FOUND);
+        story::rejected(&node, &head, StatusCode::NOT_FOUND);
         return answer::plain(StatusCode::NOT_FOUND, "no route for this host and path");
     };
     let caller = match node.codec.read_request(&head) {
         Ok(caller) => caller,
         Err(e) => {
-            rejected(&node, &head, StatusCode::BAD_REQUEST);
+            story::rejected(&node, &head, StatusCode::BAD_REQUEST);
             return answer::plain(StatusCode::BAD_REQUEST, e.0);
         }
     };
+    let limit = table.limits.body;
+    // A body of unknown length may be as long as allowed.
+    let expected = hyper::body::Body::size_hint(&body).upper().map_or(limit, |n| n as usize);
+    let Some(_held) = Held::take(&node, expected.min(limit)) else {
+        return refuse(Reason::Overload, RETRY_SOON);
+    };
     let patience = caller.patience.unwrap_or(route.timeout).min(route.timeout);
     let deadline = arrived + patience;
-    let body = match tokio::time::timeout(patience, read_body(body, table.limits.body)).await {
+    let body = match tokio::time::timeout(patience, read_body(body, limit)).await {
         Ok(Ok(body)) => body,
         Ok(Err(status)) => {
-            rejected(&node, &head, status);
+            story::rejected(&node, &head, status);
             return answer::plain(status, "the body is too large or was broken off");
         }
         Err(_) => {
-            rejected(&node, &head, StatusCode::REQUEST_TIMEOUT);
+            story::rejected(&node, &head, StatusCode::REQUEST_TIMEOUT);
             return answer::plain(StatusCode::REQUEST_TIMEOUT, "the body did not come in time");
         }
     };
@@ -116,9 +144,7 @@
     };
     let mut work = Work {
         template: template(&head),
-        generation: table.generation,
-        told: false,
-        arrived,
+        story: Story::new(&node, &caller.request, &route, table.generation, arrived),
         id: caller.request,
         body,
         fingerprint,
@@ -129,38 +155,10 @@
     work.run(job).await
 }
 
-/// Records that a request was refused before anything was sent.
-fn refused(node: &Node, head: &request::Parts, reason: Reason) {
-    node.metrics.requests.with_label_values(&["refused", &reason.to_string()]).inc();
-    if node.journal.allows(node.now(), Kind::Refused) {
-        let request = id_of(node, head);
-        let generation = node.generation();
-        let word_age_ms = node.word_age().map(|age| age.as_millis() as u64);
-        tracing::warn!(request, %reason, %generation, word_age_ms, "request refused, not run");
-    }
-}
-
-/// Records that a request was not one that can be served.
-fn rejected(node: &Node, head: &request::Parts, status: StatusCode) {
-    node.metrics.requests.with_label_values(&["rejected", status.as_str()]).inc();
-    if node.journal.allows(node.now(), Kind::Refused) {
-        let request = id_of(node, head);
-        let (host, path) = (host(head), head.uri.path());
-        let generation = node.generation();
-        tracing::warn!(request, status = status.as_u16(), host, path, %generation, "request rejected");
-    }
-}
-
-fn id_of(node: &Node, head: &request::Parts) -> String {
-    let caller = node.codec.read_request(head).ok();
-    let id = caller.as_ref().and_then(|c| c.request.to_str().ok());
-    id.unwrap_or("unknown").to_owned()
-}
-
-fn host(head: &request::Parts) -> String {
+/// The host that a request names, without its port: that does not select a route.
+pub(crate) fn host(head: &request::Parts) -> String {
     let named = head.headers.get(header::HOST).and_then(|h| h.to_str().ok());
     let host = named.or(head.uri.host()).unwrap_or_default();
-    // A port does not select a route.
     let name = host.rsplit_once(':').map_or(host, |(name, port)| {
         if port.bytes().all(|b| b.is_ascii_digit()) { name } else { host }
     });
@@ -237,32 +235,10 @@
     body: Bytes,
     fingerprint: u64,
     arrival: u32,
-    arrived: Instant,
-    generation: Generation,
-    /// Whether its end was recorded.
-    told: bool,
-}
-
-impl Drop for Work {
-    fn drop(&mut self) {
-        if !self.told {
-            let now = self.node.now();
-            let elapsed = now.saturating_duration_since(self.arrived);
-            self.node.metrics.answered("abandoned", "caller_left", elapsed);
-            if self.node.journal.allows(now, Kind::Failed) {
-                let (request, route) = (self.request(), self.route.name.as_str());
-                let elapsed_ms = elapsed.as_millis() as u64;
-                tracing::info!(request, route, elapsed_ms, "caller left before the answer");
-            }
-        }
-    }
+    story: Story,
 }
 
 impl Work {
-    fn request(&self) -> &str {
-        self.id.to_str().unwrap_or("unknown")
-    }
-
     async fn run(&mut self, mut job: Job) -> Response<Body> {
         let node = self.node.clone();
         let mut attempts = Attempts::new();
@@ -275,7 +251,7 @@
             }
             let due = node.with_rng(|rng| job.due(now, &mut node.pools.lock(), rng));
             for send in due {
-                self.tell_second(now, &job, &send);
+                self.story.second(now, &job, &send);
                 attempts.push(self.attempt(now, send, job.useful_until()));
             }
             if let Some(verdict) = job.verdict(now) {
@@ -297,78 +273,10 @@
         if !attempts.is_empty() {
             tokio::spawn(finish(attempts));
         }
-        self.told = true;
-        self.tell_end(&job, verdict);
+        self.story.end(&job, verdict);
         self.answer(&job, verdict, parts, refusal)
     }
 
-    fn tell_second(&self, now: Instant, job: &Job, send: &Send) {
-        let (cause, ended) = match send.cause {
-            Cause::First => return,
-            Cause::Slow => ("slow", None),
-            Cause::Ended(end) => ("ended", Some(end)),
-        };
-        self.node.metrics.second_attempts.with_label_values(&[cause]).inc();
-        if self.node.journal.allows(now, Kind::Second) {
-            let pool = &job.plan().pools[send.part];
-            let after_ms = now.saturating_duration_since(self.arrived).as_millis() as u64;
-            let upstream = &send.choice.entry.instance;
-            let stuck = send.choice.stuck;
-            let ended = ended.map(end_name);
-            tracing::info!(
-                request = self.request(), %pool, cause, ended, %upstream, stuck, after_ms,
-                "second attempt"
-            );
-        }
-    }
-
-    fn tell_end(&self, job: &Job, verdict: Verdict) {
-        let node = &self.node;
-        let now = node.now();
-        let elapsed = now.saturating_duration_since(self.arrived);
-        let (outcome, kind, fate, reason) = match verdict {
-            Verdict::Whole => ("whole", Kind::Answered, None, None),
-            Verdict::Partial => ("partial", Kind::Partial, None, None),
-            Verdict::Failed { fate, reason } => {
-                ("failed", Kind::Failed, Some(fate), Some(reason.to_string()))
-            }
-        };
-        node.metrics.answered(outcome, reason.as_deref().unwrap_or(""), elapsed);
-        node.metrics.second_denied.inc_by(job.denied() as u64);
-        if verdict == Verdict::Partial {
-            let missing = job.plan().pools.len() - job.replied();
-            node.metrics.pools_missing.inc_by(missing as u64);
-        }
-        if !node.journal.allows(now, kind) {
-            return;
-        }
-        let missing: Vec<String> = job.missing().map(missing).collect();
-        let missing = missing.join(" ");
-        let revision = node.registry.lock().revision();
-        let word_age_ms = node.word_age().map(|age| age.as_millis() as u64);
-        let patience = job.plan().deadline.saturating_duration_since(self.arrived);
-        tracing::info!(
-            request = self.request(),
-            route = self.route.name.as_str(),
-            outcome,
-            reason,
-            fate = fate.map(|f| format!("{f:?}")),
-            replied = job.replied(),
-            pools = job.plan().pools.len(),
-            floor = job.plan().floor,
-            missing,
-            attempts = job.sent(),
-            denied = job.denied(),
-            elapsed_ms = elapsed.as_millis() as u64,
-            goal_ms = job.plan().goal.as_millis() as u64,
-            deadline_ms = patience.as_millis() as u64,
-            generation = %self.generation,
-            %revision,
-            word_age_ms,
-            "request answered"
-        );
-    }
-
     fn take(
         &self,
         job: &mut Job,
@@ -383,7 +291,7 @@
             // Without a signature it is not the upstream's.
             end = End::Broken;
         }
-        self.tell_attempt(job, part, end, &upstream, after);
+        self.story.attempt(job, part, end, &upstream, after);
         if end == End::Lost {
             self.investigate(seat, address);
         }
@@ -395,29 +303,6 @@
         }
     }
 
-    fn tell_attempt(
-        &self,
-        job: &Job,
-        part: usize,
-        end: End,
-        upstream: &id::Instance,
-        after: Duration,
-    ) {
-        let node = &self.node;
-        let name = end_name(end);
-        node.metrics.attempts.with_label_values(&[name]).inc();
-        if end == (End::Reply { success: true }) {
-            node.metrics.attempt_seconds.observe(after.as_secs_f64());
-        } else if node.journal.allows(node.now(), Kind::Attempt) {
-            let pool = &job.plan().pools[part];
-            let after_ms = after.as_millis() as u64;
-            tracing::info!(
-                request = self.request(), %pool, %upstream, end = name, after_ms,
-                "attempt brought no reply"
-            );
-        }
-    }
-
     /// Accuses the request if the upstream that it ran at turns out to have crashed.
     fn investigate(&self, seat: Seat, address: SocketAddr) {
         let node = self.node.clone();
@@ -497,25 +382,6 @@
     }
 }
 
-/// A pool without a reply and the upstreams that were asked: `pool(upstream,upstream)`.
-fn missing((pool, asked): (&id::Pool, &[id::Instance])) -> String {
-    let asked: Vec<&str> = asked.iter().map(|i| i.0.as_str()).collect();
-    format!("{pool}({})", asked.join(","))
-}
-
-fn end_name(end: End) -> &'static str {
-    match end {
-        End::Reply { success: true } => "reply",
-        End::Reply { success: false } => "failure",
-        End::Refused => "refused",
-        End::Replaced => "replaced",
-        End::Unreached => "unreached",
-        End::Lost => "lost",
-        End::Broken => "broken",
-        End::Silent => "silent",
-    }
-}
-
 fn accuse(node: &Node, notices: &[accusation::Notice]) {
     let now = node.now();
     let news = {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod node;
 pub mod peer;
 pub mod socket;
+mod story;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -76,6 +76,8 @@
     pub(crate) leaving: AtomicBool,
     /// Requests being served.
     pub(crate) serving: AtomicUsize,
+    /// Bytes of request bodies that are held or being read.
+    pub(crate) buffered: AtomicUsize,
     /// When the platform last spoke, as far as this node knows.
     pub(crate) word: Mutex<Option<Instant>>,
     /// Nodes that callers may be told to use, and what each failure domain has.
@@ -138,6 +140,7 @@
             informed: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             serving: AtomicUsize::new(0),
+            buffered: AtomicUsize::new(0),
             word: Mutex::default(),
             names: ArcSwap::default(),
             carrier: AtomicBool::new(true),
--- /dev/null
+++ b/crates/relay/src/story.rs
@@ -0,0 +1,210 @@
+//! What the log and the metrics tell of a request.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use base::{id, unit::Generation};
+use http::{HeaderValue, StatusCode, request};
+use policy::{
+    outcome::Reason,
+    relay::{
+        job::{Cause, Job, Send, Verdict},
+        route::Route,
+        upstream::End,
+    },
+};
+
+use crate::{forward, journal::Kind, node::Node};
+
+/// Records of one request, from its first attempt to its end.
+#[derive(Debug)]
+pub(crate) struct Story {
+    node: Arc<Node>,
+    request: HeaderValue,
+    route: Arc<Route>,
+    generation: Generation,
+    arrived: Instant,
+    ended: bool,
+}
+
+impl Drop for Story {
+    fn drop(&mut self) {
+        if !self.ended {
+            let now = self.node.now();
+            let elapsed = now.saturating_duration_since(self.arrived);
+            self.node.metrics.answered("abandoned", "caller_left", elapsed);
+            if self.node.journal.allows(now, Kind::Failed) {
+                let (request, route) = (self.request(), self.route.name.as_str());
+                let elapsed_ms = elapsed.as_millis() as u64;
+                tracing::info!(request, route, elapsed_ms, "caller left before the answer");
+            }
+        }
+    }
+}
+
+impl Story {
+    /// Of the request with the caller's id `request`, which is decided on by `generation`.
+    pub(crate) fn new(
+        node: &Arc<Node>,
+        request: &HeaderValue,
+        route: &Arc<Route>,
+        generation: Generation,
+        arrived: Instant,
+    ) -> Story {
+        Story {
+            node: node.clone(),
+            request: request.clone(),
+            route: route.clone(),
+            generation,
+            arrived,
+            ended: false,
+        }
+    }
+
+    fn request(&self) -> &str {
+        self.request.to_str().unwrap_or("unknown")
+    }
+
+    /// Records a second attempt.
+    pub(crate) fn second(&self, now: Instant, job: &Job, send: &Send) {
+        let (cause, ended) = match send.cause {
+            Cause::First => return,
+            Cause::Slow => ("slow", None),
+            Cause::Ended(end) => ("ended", Some(end)),
+        };
+        self.node.metrics.second_attempts.with_label_values(&[cause]).inc();
+        if self.node.journal.allows(now, Kind::Second) {
+            let pool = &job.plan().pools[send.part];
+            let after_ms = now.saturating_duration_since(self.arrived).as_millis() as u64;
+            let upstream = &send.choice.entry.instance;
+            let stuck = send.choice.stuck;
+            let ended = ended.map(end_name);
+            tracing::info!(
+                request = self.request(), %pool, cause, ended, %upstream, stuck, after_ms,
+                "second attempt"
+            );
+        }
+    }
+
+    /// Records the answer.
+    pub(crate) fn end(&mut self, job: &Job, verdict: Verdict) {
+        self.ended = true;
+        let node = &self.node;
+        let now = node.now();
+        let elapsed = now.saturating_duration_since(self.arrived);
+        let (outcome, kind, fate, reason) = match verdict {
+            Verdict::Whole => ("whole", Kind::Answered, None, None),
+            Verdict::Partial => ("partial", Kind::Partial, None, None),
+            Verdict::Failed { fate, reason } => {
+                ("failed", Kind::Failed, Some(fate), Some(reason.to_string()))
+            }
+        };
+        node.metrics.answered(outcome, reason.as_deref().unwrap_or(""), elapsed);
+        node.metrics.second_denied.inc_by(job.denied() as u64);
+        if verdict == Verdict::Partial {
+            let missing = job.plan().pools.len() - job.replied();
+            node.metrics.pools_missing.inc_by(missing as u64);
+        }
+        if !node.journal.allows(now, kind) {
+            return;
+        }
+        let missing: Vec<String> = job.missing().map(missing).collect();
+        let missing = missing.join(" ");
+        let revision = node.registry.lock().revision();
+        let word_age_ms = node.word_age().map(|age| age.as_millis() as u64);
+        let patience = job.plan().deadline.saturating_duration_since(self.arrived);
+        tracing::info!(
+            request = self.request(),
+            route = self.route.name.as_str(),
+            outcome,
+            reason,
+            fate = fate.map(|f| format!("{f:?}")),
+            replied = job.replied(),
+            pools = job.plan().pools.len(),
+            floor = job.plan().floor,
+            missing,
+            attempts = job.sent(),
+            denied = job.denied(),
+            elapsed_ms = elapsed.as_millis() as u64,
+            goal_ms = job.plan().goal.as_millis() as u64,
+            deadline_ms = patience.as_millis() as u64,
+            generation = %self.generation,
+            %revision,
+            word_age_ms,
+            "request answered"
+        );
+    }
+
+    /// Records how an attempt ended after `after`.
+    pub(crate) fn attempt(
+        &self,
+        job: &Job,
+        part: usize,
+        end: End,
+        upstream: &id::Instance,
+        after: Duration,
+    ) {
+        let node = &self.node;
+        let name = end_name(end);
+        node.metrics.attempts.with_label_values(&[name]).inc();
+        if end == (End::Reply { success: true }) {
+            node.metrics.attempt_seconds.observe(after.as_secs_f64());
+        } else if node.journal.allows(node.now(), Kind::Attempt) {
+            let pool = &job.plan().pools[part];
+            let after_ms = after.as_millis() as u64;
+            tracing::info!(
+                request = self.request(), %pool, %upstream, end = name, after_ms,
+                "attempt brought no reply"
+            );
+        }
+    }
+}
+
+/// Records that a request was refused before anything was sent.
+pub(crate) fn refused(node: &Node, head: &request::Parts, reason: Reason) {
+    node.metrics.requests.with_label_values(&["refused", &reason.to_string()]).inc();
+    if node.journal.allows(node.now(), Kind::Refused) {
+        let request = id_of(node, head);
+        let generation = node.generation();
+        let word_age_ms = node.word_age().map(|age| age.as_millis() as u64);
+        tracing::warn!(request, %reason, %generation, word_age_ms, "request refused, not run");
+    }
+}
+
+/// Records that a request was not one that can be served.
+pub(crate) fn rejected(node: &Node, head: &request::Parts, status: StatusCode) {
+    node.metrics.requests.with_label_values(&["rejected", status.as_str()]).inc();
+    if node.journal.allows(node.now(), Kind::Refused) {
+        let request = id_of(node, head);
+        let (host, path) = (forward::host(head), head.uri.path());
+        let generation = node.generation();
+        tracing::warn!(request, status = status.as_u16(), host, path, %generation, "request rejected");
+    }
+}
+
+fn id_of(node: &Node, head: &request::Parts) -> String {
+    let caller = node.codec.read_request(head).ok();
+    let id = caller.as_ref().and_then(|c| c.request.to_str().ok());
+    id.unwrap_or("unknown").to_owned()
+}
+
+/// A pool without a reply and the upstreams that were asked: `pool(upstream,upstream)`.
+fn missing((pool, asked): (&id::Pool, &[id::Instance])) -> String {
+    let asked: Vec<&str> = asked.iter().map(|i| i.0.as_str()).collect();
+    format!("{pool}({})", asked.join(","))
+}
+
+fn end_name(end: End) -> &'static str {
+    match end {
+        End::Reply { success: true } => "reply",
+        End::Reply { success: false } => "failure",
+        End::Refused => "refused",
+        End::Replaced => "replaced",
+        End::Unreached => "unreached",
+        End::Lost => "lost",
+        End::Broken => "broken",
+        End::Silent => "silent",
+    }
+}
