Who follows the platform is decided in policy

Cause: the choice between watching and relying on peers stood between sockets and could not be tested without them. Conclusion: no behaviour changed but the metrics' start.

--- a/crates/balsamgate/src/relay.rs
+++ b/crates/balsamgate/src/relay.rs
@@ -66,7 +66,14 @@
     let callers = listen("callers'", settings.callers)?;
     let ready = listen("readiness", settings.ready)?;
     let directory = listen("directory", settings.directory)?;
-    let metrics = settings.metrics.map(|address| listen("metrics", address)).transpose()?;
+    let metrics = settings.metrics.and_then(|address| match listen("metrics", address) {
+        Ok(listener) => Some(listener),
+        // Callers are served all the same.
+        Err(e) => {
+            tracing::error!(cause = format!("{e:#}"), "metrics are not served");
+            None
+        }
+    });
     let peers = listen("peers'", settings.peers)?;
     let heartbeats = UdpSocket::bind(settings.peers).await.wrap_err("heartbeat socket")?;
 
--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -13,3 +13,4 @@
 pub mod route;
 pub mod spend;
 pub mod upstream;
+pub mod watch;
--- a/crates/relay/src/catalog.rs
+++ b/crates/relay/src/catalog.rs
@@ -9,7 +9,10 @@
 };
 
 use base::id;
-use policy::relay::registry::{Change, Event};
+use policy::relay::{
+    registry::{Change, Event},
+    watch::{self, Knowledge},
+};
 use tokio_util::sync::CancellationToken;
 use wire::feed;
 
@@ -21,24 +24,8 @@
     peer,
 };
 
-/// Longest wait of one watch where each node watches. Each call has its price; a watch that
-/// has fallen silent is noticed by heartbeats of peers and by keep-alive probes.
-const WATCH: Duration = Duration::from_secs(10);
-/// Share of the time for a configuration to be in force that one watch waits where nodes watch
-/// for others: they must notice soon when it has fallen silent.
-const WATCH_SHARE: f64 = 0.35;
-/// The same share as the age of the platform's last word at which a node that relies on others
-/// looks for itself.
-const STALE_SHARE: f64 = 0.75;
 /// Time between two looks of a node that relies on others at whether it still can.
 const RELY: Duration = Duration::from_millis(200);
-/// Time after its start that a node which is nobody's seed relies on its first, cheaper read
-/// and on what peers tell beyond it.
-const SETTLE: Duration = Duration::from_millis(600);
-/// Time after its start for which a node that hears of the platform's word from peers relies on
-/// them: until then it does not know how many there are. Deployments hold a VM to their bounds
-/// from 4 s after its start on.
-const NEWCOMER: Duration = Duration::from_secs(3);
 /// Time between a watch that told something and the next: each call has its price, and
 /// upstreams of a fleet that starts register one by one. Well under the 3 s within which a
 /// configuration is to be in force.
@@ -89,14 +76,16 @@
                 }
                 failures += 1;
                 let pause = RETRY * 2u32.pow(failures.min(4) - 1);
-                tokio::time::sleep(pause.min(RETRY_LIMIT).mul_f64(jitter(&node))).await;
+                tokio::time::sleep(pause.min(RETRY_LIMIT).mul_f64(0.75 + 0.5 * chance(&node)))
+                    .await;
             }
         }
     }
 }
 
-fn jitter(node: &Node) -> f64 {
-    0.75 + 0.5 * (node.random() as f64 / u64::MAX as f64)
+/// A random number from 0 to 1.
+fn chance(node: &Node) -> f64 {
+    node.random() as f64 / u64::MAX as f64
 }
 
 fn is_seed(node: &Node) -> bool {
@@ -107,19 +96,15 @@
 /// Whether the node may leave it to others to follow the platform.
 fn relies_on_others(node: &Node) -> bool {
     let now = node.now();
-    if !node.informed.load(Ordering::Relaxed) {
-        return false;
-    }
-    let age = now.saturating_duration_since(node.born);
-    if !is_seed(node) && age < SETTLE.mul_f64(jitter(node)) {
-        return true;
-    }
-    // Not all at once, but none later than its share.
-    let spread = 1.0 - 0.2 * (node.random() as f64 / u64::MAX as f64);
-    let stale = node.settings.apply.mul_f64(STALE_SHARE * spread);
-    let word = *node.word.lock();
-    let told = word.is_some_and(|at| now.saturating_duration_since(at) < stale);
-    told && (age < NEWCOMER || !fleet::is_watcher(node))
+    let known = Knowledge {
+        informed: node.informed.load(Ordering::Relaxed),
+        seed: is_seed(node),
+        age: now.saturating_duration_since(node.born),
+        word_age: node.word_age(),
+        watcher: fleet::is_watcher(node),
+        apply: node.settings.apply,
+    };
+    watch::relies(known, chance(node))
 }
 
 /// Records that the platform has spoken at `word`, and that this node knows all it said.
@@ -139,8 +124,7 @@
         return Ok(());
     }
     let after = node.registry.lock().revision();
-    let alone = node.view.load().len() < fleet::SMALL;
-    let wait = if alone { WATCH } else { node.settings.apply.mul_f64(WATCH_SHARE) };
+    let wait = watch::wait(node.view.load().len(), node.settings.apply);
     let changes = node.source.watch(after, wait).await?;
     hear_word(node, Some(node.now()));
     let told = changes.config.is_some() || !changes.upstreams.is_empty();
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -13,7 +13,10 @@
 use policy::{
     adoption::Stamp,
     membership::{ACCUSATIONS, Extras, Out, Record, Status},
-    relay::naming::{self, Candidate},
+    relay::{
+        naming::{self, Candidate},
+        watch,
+    },
     routing,
 };
 use tokio::net::UdpSocket;
@@ -31,11 +34,6 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Addresses in one answer.
 const ADDRESSES: usize = 64;
-/// Nodes up to which each follows the platform itself.
-pub(crate) const SMALL: usize = 24;
-/// Nodes of a failure domain that follow the platform in a larger fleet.
-const WATCHERS: usize = 2;
-
 /// What a peer's heartbeat says of the platform's service.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Said {
@@ -266,16 +264,10 @@
 }
 
 /// Whether this node is one of those that follow the platform for the others.
-///
-/// In a fleet of a few dozen nodes every node does, so that nothing rests on the others. In a
-/// larger one some do in each failure domain, and the others once the platform's last word is
-/// old.
 pub(crate) fn is_watcher(node: &Node) -> bool {
     let view = node.view.load();
-    if view.len() < SMALL {
-        return true;
-    }
     let domain = &node.settings.domain;
+    // The order that all nodes agree on: strong ones first, as callers depend on them.
     let rank = |r: &Record| {
         let weight = routing::weight(b"watcher", domain.as_str().as_bytes(), r.node);
         (r.capacity, weight)
@@ -285,5 +277,6 @@
         rank(fleet.own())
     };
     let alive = |r: &&Record| r.status == Status::Alive && r.domain == *domain;
-    view.iter().filter(alive).filter(|r| rank(r) > own).count() < WATCHERS
+    let before = view.iter().filter(alive).filter(|r| rank(r) > own).count();
+    watch::is_watcher(view.len(), before)
 }
