Failure domains may have the names that the VMs' operator gave them

Cause: a failure domain's name had to start with a small letter and hold nothing but a-z, 0-9 and -. A node in "1b" or "Zona_Norte" did not start.

Change: letters of both cases, digits, -, _ and ., starting with a letter or digit, up to 64. Names of the product's own are as strict as before. One copy of the text that says what is allowed.

--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -22,16 +22,28 @@
 /// Longest accepted name, in bytes.
 pub const NAME_LIMIT: usize = 64;
 
+/// What a name of the product's own may be.
+pub const NAME: &str = "1 to 64 of a-z, 0-9 and -, starting with a letter";
+/// What the name of a failure domain may be: it is given by whoever runs the VMs.
+pub const DOMAIN_NAME: &str =
+    "1 to 64 of a-z, A-Z, 0-9, -, _ and ., starting with a letter or digit";
+
 fn is_name(text: &str) -> bool {
     let ok = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-';
-    !text.is_empty()
-        && text.len() <= NAME_LIMIT
+    (1..=NAME_LIMIT).contains(&text.len())
         && text.starts_with(|c: char| c.is_ascii_lowercase())
         && text.chars().all(ok)
 }
 
+fn is_domain_name(text: &str) -> bool {
+    let ok = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    (1..=NAME_LIMIT).contains(&text.len())
+        && text.starts_with(|c: char| c.is_ascii_alphanumeric())
+        && text.chars().all(ok)
+}
+
 macro_rules! names {
-    ($($(#[$doc:meta])* $name:ident, $kind:literal;)*) => {$(
+    ($($(#[$doc:meta])* $name:ident, $kind:literal, $is_allowed:path, $allowed:path;)*) => {$(
         $(#[$doc])*
         #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
         #[serde(try_from = "SmolStr", into = "SmolStr")]
@@ -54,9 +66,8 @@
             type Err = Error;
 
             fn from_str(text: &str) -> Result<$name, Error> {
-                if !is_name(text) {
-                    let allowed = "1 to 64 of a-z, 0-9 and -, starting with a letter";
-                    return Err(Error { kind: $kind, read: text.to_owned(), allowed });
+                if !$is_allowed(text) {
+                    return Err(Error { kind: $kind, read: text.to_owned(), allowed: $allowed });
                 }
                 Ok($name(SmolStr::new(text)))
             }
@@ -80,15 +91,15 @@
 
 names! {
     /// Name of a deployment: one user's region.
-    Deployment, "deployment";
+    Deployment, "deployment", is_name, NAME;
     /// Name of a failure domain.
-    Domain, "failure domain";
+    Domain, "failure domain", is_domain_name, DOMAIN_NAME;
     /// Name of a service behind the query tier.
-    Service, "service";
+    Service, "service", is_name, NAME;
     /// Name of a search class.
-    Class, "class";
+    Class, "class", is_name, NAME;
     /// Name of a set of callers.
-    Caller, "caller";
+    Caller, "caller", is_name, NAME;
 }
 
 /// Name of a set of interchangeable upstreams that requests are relayed to.
--- a/crates/config/src/questionnaire.rs
+++ b/crates/config/src/questionnaire.rs
@@ -88,8 +88,7 @@
 
 fn read_head(file: &mut File) -> Option<Head> {
     let mut section = file.take_one("deployment", true);
-    let names = "1 to 64 of a-z, 0-9 and -, starting with a letter";
-    let name = section.take(file, "name", names, None, |v| v.parse().ok());
+    let name = section.take(file, "name", id::NAME, None, |v| v.parse().ok());
     let generation = section.number(file, "generation", 1..=u64::MAX, None);
     let weigh = "tail latency or coverage";
     let weigh_most = section.take(file, "weigh_most", weigh, None, |v| v.parse().ok());
--- a/crates/config/src/relay.rs
+++ b/crates/config/src/relay.rs
@@ -94,10 +94,9 @@
     pub fn parse(name: &str, text: &str) -> Result<Settings, Errors> {
         let mut file = File::parse(name, text)?;
         let f = &mut file;
-        let names = "1 to 64 of a-z, 0-9 and -, starting with a letter";
         let mut node = f.take_one("node", true);
-        let deployment = node.take(f, "deployment", names, None, |v| v.parse().ok());
-        let domain = node.take(f, "failure_domain", names, None, |v| v.parse().ok());
+        let deployment = node.take(f, "deployment", id::NAME, None, |v| v.parse().ok());
+        let domain = node.take(f, "failure_domain", id::DOMAIN_NAME, None, |v| v.parse().ok());
         let cores = node.take(f, "cores", "0.001 to 1000", Some(1.0), |v| within(v, 0.001, 1e3));
         node.finish(f, "deployment, failure_domain, cores");
 
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -124,10 +124,9 @@
     pub fn parse(name: &str, text: &str) -> Result<Settings, Errors> {
         let mut file = File::parse(name, text)?;
         let f = &mut file;
-        let names = "1 to 64 of a-z, 0-9 and -, starting with a letter";
         let mut node = f.take_one("node", true);
-        let deployment = node.take(f, "deployment", names, None, |v| v.parse().ok());
-        let domain = node.take(f, "failure_domain", names, None, |v| v.parse().ok());
+        let deployment = node.take(f, "deployment", id::NAME, None, |v| v.parse().ok());
+        let domain = node.take(f, "failure_domain", id::DOMAIN_NAME, None, |v| v.parse().ok());
         let threads = node.number(f, "threads", 0..=256, Some(0));
         node.finish(f, "deployment, failure_domain, threads");
 
--- a/crates/config/tests/relay.rs
+++ b/crates/config/tests/relay.rs
@@ -33,6 +33,20 @@
     assert_eq!(Settings::parse("node.ini", &text).expect("valid").seeds, []);
 }
 
+#[test]
+fn a_failure_domain_has_the_name_that_the_vms_operator_gave_it() {
+    let check = |name: &str, allowed: bool| {
+        let text = LEAST.replace("failure_domain = a", &format!("failure_domain = {name}"));
+        assert_eq!(Settings::parse("node.ini", &text).is_ok(), allowed, "{name}");
+    };
+    for name in ["a", "us-east-1a", "2", "1b", "Zona_Norte", "rack.7"] {
+        check(name, true);
+    }
+    for name in ["", "a b", "-a", "a/b"] {
+        check(name, false);
+    }
+}
+
 #[test]
 fn each_error_says_where_it_is_what_was_read_and_what_is_allowed() {
     let check = |text: &str, expected: &str| {
