Attempts and registry entries that fail say why; replies count against memory

Cause: the line of an attempt said "unreached" or "broken" and nothing of the error; an unusable registry entry was left out without a reason. Replies of up to 8 MiB each were held whole and counted against no bound, and attempts left over after an answer were bounded by time only.

Change: `attempt brought no reply` has a `cause`; `value in the platform's service is not usable` names key, revision and reason, and is counted; an upstream taken to have crashed is named with the error. Bodies of replies count against [limits] buffer while they are held (metric held_bytes), and the requests with attempts left over are as many as [limits] requests at most: further ones are cut at once.

--- a/crates/relay/src/catalog.rs
+++ b/crates/relay/src/catalog.rs
@@ -17,7 +17,7 @@
 use wire::feed;
 
 use crate::{
-    edge::{Changes, Published, SourceError},
+    edge::{Changes, Published, SourceError, Unusable},
     fleet,
     journal::Kind,
     node::Node,
@@ -154,6 +154,12 @@
             report(event);
         }
     }
+    for Unusable { key, revision, reason } in &changes.unusable {
+        node.metrics.unusable.inc();
+        if node.journal.allows(now, Kind::Belief) {
+            tracing::warn!(%key, %revision, reason, "value in the platform's service is not usable");
+        }
+    }
     refresh(node);
     if !news.is_empty() {
         fleet::refresh_coverage(node);
@@ -183,9 +189,7 @@
             upstream = %e.instance, pool = %e.pool, address = %e.address, domain = %e.domain,
             draining = e.draining, born_ms = e.born_ms, %revision, "upstream registered"
         ),
-        Change::Unusable => {
-            tracing::warn!(%key, %revision, "registry entry names no upstream and is left out");
-        }
+        Change::Unusable => tracing::warn!(%key, %revision, "registry entry is left out"),
         Change::Removed => tracing::info!(%key, %revision, "registry entry has gone"),
     }
 }
@@ -233,7 +237,7 @@
                 tracing::info!(peer = %from, %until, changes, "a peer told what it knows");
             }
             let config = config.map(|c| Published { revision: c.revision, bytes: c.bytes });
-            learn(&node, Changes { config, upstreams: events, until }, whole);
+            learn(&node, Changes { config, upstreams: events, unusable: Vec::new(), until }, whole);
             if !is_behind(&node, &said) {
                 hear_word(&node, said.word);
             }
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -10,9 +10,9 @@
 };
 
 use base::hash::FastMap;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::{
     body::Incoming,
     client::conn::http1::{self, SendRequest},
@@ -24,6 +24,8 @@
 
 use crate::{
     edge::{Codec, Reply, ReplyKind},
+    journal::Kind,
+    memory::Held,
     node::Node,
     socket,
 };
@@ -136,6 +138,7 @@
     pub reply: Reply,
     /// The reply as it came.
     pub response: Response<Bytes>,
+    _held: Held,
 }
 
 /// How an attempt ended, with its reply if one came whole.
@@ -145,14 +148,27 @@
     pub end: End,
     /// The reply.
     pub received: Option<Received>,
+    /// What went wrong, if anything did.
+    pub cause: Option<String>,
 }
 
 impl Ended {
-    fn without(end: End) -> Ended {
-        Ended { end, received: None }
+    fn without(end: End, cause: impl ToString) -> Ended {
+        Ended { end, received: None, cause: Some(cause.to_string()) }
     }
 }
 
+/// Why a reply's body was not received whole.
+#[derive(Debug, thiserror::Error)]
+enum BodyError {
+    #[error("the reply broke off: {0}")]
+    Cut(#[from] hyper::Error),
+    #[error("the reply is longer than {REPLY_LIMIT} bytes")]
+    Long,
+    #[error("no room for the reply: [limits] buffer is in use")]
+    NoRoom,
+}
+
 /// An attempt's message and how it may be sent.
 #[derive(Debug)]
 pub struct Message {
@@ -179,15 +195,17 @@
     ) -> Ended {
         let left = message.deadline.saturating_duration_since(node.now());
         let opened = self.open(&node, address, limit, message.repeatable);
-        let Ok(Some(mut sender)) = tokio::time::timeout(left, opened).await else {
-            return Ended::without(End::Unreached);
+        let mut sender = match tokio::time::timeout(left, opened).await {
+            Ok(Ok(sender)) => sender,
+            Ok(Err(e)) => return Ended::without(End::Unreached, e),
+            Err(_) => return Ended::without(End::Unreached, "no connection in time"),
         };
         let now = node.now();
         // Looked at again here: the process may have been suspended since the decision to send.
         let left = message.deadline.saturating_duration_since(now);
         if left.is_zero() {
             self.put_back(&node, sender, None);
-            return Ended::without(End::Unreached);
+            return Ended::without(End::Unreached, "no time was left to send it");
         }
         let Message { mut request, id, instance, .. } = message;
         node.codec.write_attempt(request.headers_mut(), &instance, left);
@@ -196,7 +214,8 @@
             // hyper hands the message back only if it has written nothing of it.
             Err(mut e) => {
                 let unsent = e.take_message().is_some();
-                return Ended::without(if unsent { End::Unreached } else { End::Lost });
+                let end = if unsent { End::Unreached } else { End::Lost };
+                return Ended::without(end, e.error());
             }
         };
         self.receive(&node, node.codec.as_ref(), sender, &id, response).await
@@ -214,10 +233,11 @@
         let reply = codec.read_reply(id, &head);
         if reply.foreign {
             // What follows on this connection belongs to no request.
-            return Ended::without(End::Broken);
+            return Ended::without(End::Broken, "the reply names another request");
         }
-        let Ok(body) = Limited::new(body, REPLY_LIMIT).collect().await else {
-            return Ended::without(End::Broken);
+        let (body, held) = match read_body(node, body).await {
+            Ok(read) => read,
+            Err(e) => return Ended::without(End::Broken, e),
         };
         if sender.ready().await.is_ok() {
             self.put_back(node, sender, reply.keep_alive);
@@ -227,8 +247,8 @@
             ReplyKind::Refused => End::Refused,
             ReplyKind::Replaced => End::Replaced,
         };
-        let response = Response::from_parts(head, body.to_bytes());
-        Ended { end, received: Some(Received { reply, response }) }
+        let received = Received { reply, response: Response::from_parts(head, body), _held: held };
+        Ended { end, received: Some(received), cause: None }
     }
 
     async fn open(
@@ -237,12 +257,12 @@
         address: std::net::SocketAddr,
         limit: usize,
         repeatable: bool,
-    ) -> Option<Sender> {
+    ) -> Result<Sender, ConnectError> {
         loop {
             let returned = self.returned.notified();
             while let Some(mut sender) = self.take(node.now(), repeatable) {
                 if sender.ready().await.is_ok() {
-                    return Some(sender);
+                    return Ok(sender);
                 }
             }
             if let Some(place) = self.place(limit) {
@@ -274,15 +294,21 @@
         tokio::time::sleep(INVESTIGATE).await;
         let connected = match self.place(usize::MAX) {
             Some(place) => connect(address, place).await,
-            None => None,
+            None => return Vec::new(),
         };
         let suspects = std::mem::take(&mut self.state.lock().suspects);
         match connected {
-            Some(sender) => {
+            Ok(sender) => {
                 self.put_back(&node, sender, None);
                 Vec::new()
             }
-            None => suspects,
+            Err(e) => {
+                if node.journal.allows(node.now(), Kind::Belief) {
+                    let requests = suspects.len();
+                    tracing::warn!(%address, requests, cause = %e, "upstream taken to have crashed");
+                }
+                suspects
+            }
         }
     }
 
@@ -317,13 +343,48 @@
     }
 }
 
-async fn connect(address: std::net::SocketAddr, place: Place) -> Option<Sender> {
-    let stream = socket::connect(address, CONNECT_TIMEOUT).await.ok()?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+/// No connection to an upstream.
+#[derive(Debug, thiserror::Error)]
+enum ConnectError {
+    #[error("no connection: {0}")]
+    Socket(#[from] std::io::Error),
+    #[error("no connection: {0}")]
+    Http(#[from] hyper::Error),
+}
+
+async fn connect(address: std::net::SocketAddr, place: Place) -> Result<Sender, ConnectError> {
+    let stream = socket::connect(address, CONNECT_TIMEOUT).await?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     tokio::spawn(async move {
         // Its errors reach the requests that used it.
         let _ = connection.await;
         drop(place);
     });
-    Some(sender)
+    Ok(sender)
+}
+
+/// Reads a reply's body, which counts against the node's bound until it is dropped.
+async fn read_body(node: &Node, mut body: Incoming) -> Result<(Bytes, Held), BodyError> {
+    let mut held = node.memory.take(0).ok_or(BodyError::NoRoom)?;
+    let mut first: Option<Bytes> = None;
+    let mut more = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else { continue };
+        if first.as_ref().map_or(0, Bytes::len) + more.len() + data.len() > REPLY_LIMIT {
+            return Err(BodyError::Long);
+        }
+        if !held.grow(data.len()) {
+            return Err(BodyError::NoRoom);
+        }
+        match &first {
+            None => first = Some(data),
+            Some(_) => more.extend_from_slice(&data),
+        }
+    }
+    let first = first.unwrap_or_default();
+    if more.is_empty() {
+        return Ok((first, held));
+    }
+    let whole = [first.as_ref(), more.as_ref()].concat();
+    Ok((whole.into(), held))
 }
--- a/crates/relay/src/edge.rs
+++ b/crates/relay/src/edge.rs
@@ -5,6 +5,7 @@
 use base::{id, unit::Revision};
 use http::{HeaderMap, HeaderValue, request, response};
 use policy::relay::{registry::Event, route::Table};
+use smol_str::SmolStr;
 
 /// A boxed future.
 pub type Pending<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
@@ -84,6 +85,17 @@
     pub bytes: Vec<u8>,
 }
 
+/// A value that names no upstream or configuration.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Unusable {
+    /// Where it stands.
+    pub key: SmolStr,
+    /// Place of its last change in the history.
+    pub revision: Revision,
+    /// What is wrong with it.
+    pub reason: String,
+}
+
 /// Changes in the platform's service.
 #[derive(Debug, Clone)]
 pub struct Changes {
@@ -91,6 +103,8 @@
     pub config: Option<Published>,
     /// Changes of registered upstreams.
     pub upstreams: Vec<Event>,
+    /// Values among them that are of no use, with the reason.
+    pub unusable: Vec<Unusable>,
     /// The history is known up to here.
     pub until: Revision,
 }
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -24,6 +24,7 @@
         upstream::End,
     },
 };
+use tokio::sync::OwnedSemaphorePermit;
 
 use crate::{
     answer::{self, Body},
@@ -67,27 +68,6 @@
     }
 }
 
-/// Bytes of a request's body that count against the node's bound until it is answered.
-struct Held {
-    node: Arc<Node>,
-    bytes: usize,
-}
-
-impl Held {
-    /// Takes `bytes`, if the bound has room.
-    fn take(node: &Arc<Node>, bytes: usize) -> Option<Held> {
-        let before = node.buffered.fetch_add(bytes, Ordering::Relaxed);
-        let held = Held { node: node.clone(), bytes };
-        (bytes == 0 || before + bytes <= node.settings.buffer).then_some(held)
-    }
-}
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        self.node.buffered.fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
-
 /// Answers a caller's request.
 pub async fn serve(node: Arc<Node>, request: Request<Incoming>) -> Response<Body> {
     let arrived = node.now();
@@ -119,7 +99,7 @@
     let limit = table.limits.body;
     // A body of unknown length may be as long as allowed.
     let expected = hyper::body::Body::size_hint(&body).upper().map_or(limit, |n| n as usize);
-    let Some(_held) = Held::take(&node, expected.min(limit)) else {
+    let Some(_held) = node.memory.take(expected.min(limit)) else {
         return refuse(Reason::Overload, RETRY_SOON);
     };
     let patience = caller.patience.unwrap_or(route.timeout).min(route.timeout);
@@ -270,8 +250,10 @@
                 () = tokio::time::sleep(wake) => {}
             }
         };
-        if !attempts.is_empty() {
-            tokio::spawn(finish(attempts));
+        if !attempts.is_empty()
+            && let Ok(place) = node.leftovers.clone().try_acquire_owned()
+        {
+            tokio::spawn(finish(attempts, place));
         }
         self.story.end(&job, verdict);
         self.answer(&job, verdict, parts, refusal)
@@ -286,12 +268,15 @@
     ) {
         let Done { part, ended, upstream, seat, address, after } = done;
         let mut end = ended.end;
+        let mut cause = ended.cause;
         let whole = ended.received.as_ref().is_some_and(|r| r.reply.proof.is_some());
         if end == (End::Reply { success: true }) && !whole {
             // Without a signature it is not the upstream's.
             end = End::Broken;
+            cause = Some("the reply bears no signature".to_owned());
         }
-        self.story.attempt(job, part, end, &upstream, after);
+        let attempt = story::Attempt { part, end, cause: cause.as_deref(), upstream: &upstream };
+        self.story.attempt(job, attempt, after);
         if end == End::Lost {
             self.investigate(seat, address);
         }
@@ -401,7 +386,7 @@
 }
 
 /// Waits for attempts that nobody needs any more, and then drops them with their connections.
-async fn finish(mut attempts: Attempts) {
+async fn finish(mut attempts: Attempts, _place: OwnedSemaphorePermit) {
     let all = async { while attempts.next().await.is_some() {} };
     // What has not ended by then is cut off.
     let _ = tokio::time::timeout(LEFTOVER, all).await;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod forward;
 pub mod front;
 pub mod journal;
+pub mod memory;
 pub mod metric;
 pub mod node;
 pub mod peer;
--- a/crates/relay/src/metric.rs
+++ b/crates/relay/src/metric.rs
@@ -31,12 +31,16 @@
     pub pools_missing: IntCounter,
     /// Calls to the platform by result.
     pub platform_calls: IntCounterVec,
+    /// Values in the platform's service that were of no use.
+    pub unusable: IntCounter,
     /// Calls to peers by result.
     pub peer_calls: IntCounterVec,
     /// Times that the process was suspended.
     pub suspensions: IntCounter,
     /// Requests being served.
     pub serving: IntGauge,
+    /// Bytes of requests and replies held.
+    pub held_bytes: IntGauge,
     /// Connections to upstreams.
     pub connections: IntGauge,
     /// Generation of the configuration in force.
@@ -87,12 +91,17 @@
                 register(&r, IntCounter::new("balsamgate_pools_missing_total", help))
             },
             platform_calls: counters(&r, "platform_calls_total", "Platform calls", &["result"]),
+            unusable: {
+                let help = "Values in the platform's service that were of no use";
+                register(&r, IntCounter::new("balsamgate_platform_unusable_total", help))
+            },
             peer_calls: counters(&r, "peer_calls_total", "Calls to peers", &["result"]),
             suspensions: {
                 let help = "Times that the process was suspended";
                 register(&r, IntCounter::new("balsamgate_suspensions_total", help))
             },
             serving: gauge(&r, "serving", "Requests being served"),
+            held_bytes: gauge(&r, "held_bytes", "Bytes of requests and replies held"),
             connections: gauge(&r, "connections", "Connections to upstreams"),
             generation: gauge(&r, "generation", "Generation of the configuration in force"),
             revision: gauge(&r, "revision", "Revision of the registry that is known"),
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -27,12 +27,13 @@
 use rand::{RngCore, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use smol_str::SmolStr;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 
 use crate::{
     connection,
     edge::{Codec, Published, Source},
     journal::Journal,
+    memory::Memory,
     metric::Metrics,
 };
 
@@ -76,8 +77,10 @@
     pub(crate) leaving: AtomicBool,
     /// Requests being served.
     pub(crate) serving: AtomicUsize,
-    /// Bytes of request bodies that are held or being read.
-    pub(crate) buffered: AtomicUsize,
+    /// Bounds what bodies of requests and replies hold.
+    pub(crate) memory: Memory,
+    /// Bounds the requests whose attempts are not needed any more and have not ended.
+    pub(crate) leftovers: Arc<Semaphore>,
     /// When the platform last spoke, as far as this node knows.
     pub(crate) word: Mutex<Option<Instant>>,
     /// Nodes that callers may be told to use, and what each failure domain has.
@@ -140,7 +143,8 @@
             informed: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
             serving: AtomicUsize::new(0),
-            buffered: AtomicUsize::new(0),
+            memory: Memory::new(settings.buffer),
+            leftovers: Arc::new(Semaphore::new(settings.requests)),
             word: Mutex::default(),
             names: ArcSwap::default(),
             carrier: AtomicBool::new(true),
@@ -197,6 +201,7 @@
     pub fn metrics_text(&self) -> Vec<u8> {
         let metrics = &self.metrics;
         metrics.serving.set(self.serving.load(Ordering::Relaxed) as i64);
+        metrics.held_bytes.set(self.memory.held() as i64);
         metrics.connections.set(self.links.len() as i64);
         metrics.generation.set(self.generation().0 as i64);
         metrics.revision.set(self.registry.lock().revision().0 as i64);
--- a/crates/relay/src/story.rs
+++ b/crates/relay/src/story.rs
@@ -18,6 +18,19 @@
 
 use crate::{forward, journal::Kind, node::Node};
 
+/// An attempt that has ended.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Attempt<'a> {
+    /// Index of the pool in the plan.
+    pub(crate) part: usize,
+    /// How it ended.
+    pub(crate) end: End,
+    /// What went wrong, if anything did.
+    pub(crate) cause: Option<&'a str>,
+    /// Where it went.
+    pub(crate) upstream: &'a id::Instance,
+}
+
 /// Records of one request, from its first attempt to its end.
 #[derive(Debug)]
 pub(crate) struct Story {
@@ -138,14 +151,8 @@
     }
 
     /// Records how an attempt ended after `after`.
-    pub(crate) fn attempt(
-        &self,
-        job: &Job,
-        part: usize,
-        end: End,
-        upstream: &id::Instance,
-        after: Duration,
-    ) {
+    pub(crate) fn attempt(&self, job: &Job, attempt: Attempt<'_>, after: Duration) {
+        let Attempt { part, end, cause, upstream } = attempt;
         let node = &self.node;
         let name = end_name(end);
         node.metrics.attempts.with_label_values(&[name]).inc();
@@ -155,7 +162,7 @@
             let pool = &job.plan().pools[part];
             let after_ms = after.as_millis() as u64;
             tracing::info!(
-                request = self.request(), %pool, %upstream, end = name, after_ms,
+                request = self.request(), %pool, %upstream, end = name, cause, after_ms,
                 "attempt brought no reply"
             );
         }
