An upstream's share of refusals is remembered for its next requests

Cause: an upstream that refuses six requests in ten was avoided for 150 ms after each refusal and then asked first again, because it is near. Requests spent both attempts on the others.

Ruled out: shards without any sound upstream (each had one); too many nodes sharing the slack (carriers share it among six).

Change: the share of refusals among recent attempts, like that of failures, adds to an upstream's cost, up to 800 ms: a refusal uses up one of two attempts, so it must outweigh the latency of a queue.

--- a/crates/policy/src/relay/pool.rs
+++ b/crates/policy/src/relay/pool.rs
@@ -31,8 +31,9 @@
 const STUCK_FACTOR: u32 = 3;
 /// Shortest time in flight that means a stuck upstream.
 const STUCK: Duration = Duration::from_millis(30);
-/// Added for an upstream that refused a request a moment ago.
-const SHEDDING: Duration = Duration::from_millis(200);
+/// Added for an upstream that refused a request a moment ago, or refuses all of them; less in
+/// proportion.
+const SHEDDING: Duration = Duration::from_millis(800);
 /// Added for an upstream that fails all of its requests; less in proportion.
 const FAILING: Duration = Duration::from_millis(400);
 /// Added for an upstream without a working connection.
@@ -198,9 +199,8 @@
         if self.is_stuck(now, stats) {
             cost += stats.oldest(now);
         }
-        if stats.is_shedding(now) {
-            cost += SHEDDING;
-        }
+        let refusals = if stats.is_shedding(now) { 1.0 } else { stats.refusals(now) };
+        cost += SHEDDING.mul_f64(refusals);
         cost += FAILING.mul_f64(stats.failures(now));
         if stats.is_down(now) {
             cost += DOWN;
--- a/crates/policy/src/relay/upstream.rs
+++ b/crates/policy/src/relay/upstream.rs
@@ -19,10 +19,10 @@
 const BACKOFF_LIMIT: Duration = Duration::from_secs(2);
 /// Time for which an upstream that refused a request is asked last.
 const SHED_PAUSE: Duration = Duration::from_millis(150);
-/// Weight of the newest result in the share of failures.
-const FAILURE_WEIGHT: f64 = 0.2;
-/// Age at which the share of failures is forgotten.
-const FAILURE_AGE: Duration = Duration::from_secs(5);
+/// Weight of the newest result in the shares of failures and refusals.
+const SHARE_WEIGHT: f64 = 0.2;
+/// Age of the last failure or refusal at which their share is forgotten.
+const SHARE_AGE: Duration = Duration::from_secs(5);
 
 /// How an attempt ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -57,14 +57,37 @@
     }
 }
 
+/// Share of results that were bad lately.
+#[derive(Debug, Clone, Copy, Default)]
+struct Share {
+    value: f64,
+    bad_at: Option<Instant>,
+}
+
+impl Share {
+    fn take(&mut self, now: Instant, bad: bool) {
+        let newest = if bad { 1.0 } else { 0.0 };
+        self.value = self.at(now) + SHARE_WEIGHT * (newest - self.at(now));
+        if bad {
+            self.bad_at = Some(now);
+        }
+    }
+
+    /// From 0 to 1.
+    fn at(&self, now: Instant) -> f64 {
+        let recent = |at: Instant| now.saturating_duration_since(at) < SHARE_AGE;
+        if self.bad_at.is_some_and(recent) { self.value } else { 0.0 }
+    }
+}
+
 /// Observations of one upstream.
 #[derive(Debug)]
 pub struct Stats {
     open: Vec<Instant>,
     samples: [(Option<Instant>, Duration); SAMPLES],
     next: usize,
-    failures: f64,
-    failed_at: Option<Instant>,
+    failures: Share,
+    refusals: Share,
     connect_failures: u32,
     shed_until: Option<Instant>,
     down_until: Option<Instant>,
@@ -79,8 +102,8 @@
             open: Vec::new(),
             samples: [(None, Duration::ZERO); SAMPLES],
             next: 0,
-            failures: 0.0,
-            failed_at: None,
+            failures: Share::default(),
+            refusals: Share::default(),
             connect_failures: 0,
             shed_until: None,
             down_until: None,
@@ -104,12 +127,16 @@
                 self.connect_failures = 0;
                 self.down_until = None;
                 self.sample(now, now.saturating_duration_since(sent));
-                self.judge(now, !success);
+                self.failures.take(now, !success);
+                self.refusals.take(now, false);
+            }
+            End::Refused => {
+                self.shed_until = Some(now + SHED_PAUSE);
+                self.refusals.take(now, true);
             }
-            End::Refused => self.shed_until = Some(now + SHED_PAUSE),
             End::Replaced => self.replaced = true,
             End::Unreached => self.back_off(now),
-            End::Lost | End::Broken => self.judge(now, true),
+            End::Lost | End::Broken => self.failures.take(now, true),
             End::Silent => self.sample(now, now.saturating_duration_since(sent)),
         }
     }
@@ -119,14 +146,6 @@
         self.next = (self.next + 1) % SAMPLES;
     }
 
-    fn judge(&mut self, now: Instant, failed: bool) {
-        let newest = if failed { 1.0 } else { 0.0 };
-        self.failures += FAILURE_WEIGHT * (newest - self.failures);
-        if failed {
-            self.failed_at = Some(now);
-        }
-    }
-
     fn back_off(&mut self, now: Instant) {
         let pause = BACKOFF * 2u32.pow(self.connect_failures.min(8));
         self.connect_failures += 1;
@@ -156,8 +175,12 @@
 
     /// Share of attempts that failed lately, from 0 to 1.
     pub fn failures(&self, now: Instant) -> f64 {
-        let recent = |at: Instant| now.saturating_duration_since(at) < FAILURE_AGE;
-        if self.failed_at.is_some_and(recent) { self.failures } else { 0.0 }
+        self.failures.at(now)
+    }
+
+    /// Share of attempts that were refused lately, from 0 to 1.
+    pub fn refusals(&self, now: Instant) -> f64 {
+        self.refusals.at(now)
     }
 
     /// Whether its connections have failed just now.
--- a/crates/policy/tests/relay_load.rs
+++ b/crates/policy/tests/relay_load.rs
@@ -26,6 +26,11 @@
     if (pool + upstream).is_multiple_of(4) { Trouble::Sheds(0.6) } else { Trouble::None }
 }
 
+/// Two upstreams in three refuse most requests; each pool has one that does not.
+fn shedding_most(pool: usize, upstream: usize) -> Trouble {
+    if (pool + upstream).is_multiple_of(3) { Trouble::None } else { Trouble::Sheds(0.6) }
+}
+
 fn failing(pool: usize, upstream: usize) -> Trouble {
     if (pool + upstream).is_multiple_of(5) { Trouble::Fails(0.4) } else { Trouble::None }
 }
@@ -54,6 +59,18 @@
     check(failing, 0.95);
 }
 
+#[test]
+fn requests_find_the_upstream_that_does_not_refuse() {
+    // Half the load of the other scenes, so that one upstream of each pool can bear it.
+    let scene = Scene { per_second: 90.0, ..Scene::default() };
+    let calm = played(&scene);
+    let outcome = played(&Scene { trouble: shedding_most, ..scene });
+    // One scheduler that knew which ones refuse would lose what longer queues cost.
+    assert!(outcome.worth() >= calm.worth() - 0.1, "{outcome:?} against {calm:?}");
+    // Half of the budget at most: the other half is for attempts that are slow.
+    assert!(outcome.extra - calm.extra <= 0.1, "{outcome:?} against {calm:?}");
+}
+
 #[test]
 fn a_second_attempt_is_worth_its_load() {
     let check = |trouble: fn(usize, usize) -> Trouble, gain: f64| {
