Requests that need pools short of capacity are admitted by one number

Requests that lack one shard too many are worth nothing, and use up capacity all the same.

Change: policy::relay::admission. Each pool has the share of requests that it can serve, from what it served in the last second: 1.5 for each one served while it is short, 2 while it serves nine in ten.

--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -5,6 +5,7 @@
 //! upstreams a pool has.
 
 pub mod accusation;
+pub mod admission;
 pub mod job;
 pub mod merge;
 pub mod naming;
--- a/crates/policy/src/relay/job.rs
+++ b/crates/policy/src/relay/job.rs
@@ -10,6 +10,7 @@
 use rand::RngCore;
 
 use super::{
+    admission::Fare,
     pool::{Choice, Pools, Seat},
     upstream::End,
 };
@@ -106,6 +107,8 @@
     second_at: Option<Instant>,
     /// Nothing more can be done for it.
     lost: bool,
+    /// Its pool cannot be expected to serve this request.
+    short: bool,
 }
 
 /// State of one request.
@@ -116,13 +119,48 @@
     replied: usize,
     lost: usize,
     denied: usize,
+    refused: bool,
 }
 
 impl Job {
     /// A request of which nothing was sent yet.
     pub fn new(plan: Plan) -> Job {
         let parts = plan.pools.iter().map(|_| Part::default()).collect();
-        Job { plan, parts, replied: 0, lost: 0, denied: 0 }
+        Job { plan, parts, replied: 0, lost: 0, denied: 0, refused: false }
+    }
+
+    /// Whether enough pools can be expected to serve a request with the number `luck`, from 0
+    /// to 1. If not, nothing is to be sent: the request is refused.
+    pub fn admit(&mut self, now: Instant, pools: &mut Pools, luck: f64) -> bool {
+        if self.parts.len() < 2 {
+            return true;
+        }
+        for (part, pool) in self.parts.iter_mut().zip(&self.plan.pools) {
+            part.short = !pools.admits(now, pool, luck);
+        }
+        let short = self.parts.iter().filter(|p| p.short).count();
+        let admitted = self.parts.len() - short >= self.plan.floor;
+        self.refused = !admitted;
+        admitted
+    }
+
+    /// Tells `pools` what became of the request, once it has been answered or refused.
+    pub fn report(&self, now: Instant, pools: &mut Pools) {
+        if self.parts.len() < 2 {
+            return;
+        }
+        let late = now >= self.cut();
+        for (part, pool) in self.parts.iter().zip(&self.plan.pools) {
+            let fare = match part {
+                Part { short: true, .. } if self.refused => Fare::LeftOut,
+                Part { replied: true, .. } => Fare::Served,
+                Part { lost: true, .. } => Fare::Failed,
+                Part { tried, .. } if late && !tried.is_empty() => Fare::Failed,
+                // It might have been served, had the request gone on.
+                _ => continue,
+            };
+            pools.fared(now, pool, fare);
+        }
     }
 
     /// The plan.
@@ -151,6 +189,12 @@
         without.map(|(part, pool)| (pool, part.asked.as_slice()))
     }
 
+    /// Pools that cannot be expected to serve this request.
+    pub fn short(&self) -> impl Iterator<Item = &id::Pool> {
+        let parts = self.parts.iter().zip(&self.plan.pools);
+        parts.filter(|(part, _)| part.short).map(|(_, pool)| pool)
+    }
+
     /// Whether the pool at index `part` still needs a reply.
     pub fn needs(&self, part: usize) -> bool {
         !self.parts[part].replied
--- a/crates/policy/src/relay/pool.rs
+++ b/crates/policy/src/relay/pool.rs
@@ -14,6 +14,7 @@
 use smol_str::SmolStr;
 
 use super::{
+    admission::{Fare, Gate},
     registry::{Entry, Registry, Standing},
     spend::{Bound, Purse},
     upstream::{End, Stats, Upstream},
@@ -67,6 +68,7 @@
 struct Pool {
     seats: Vec<Seat>,
     purse: Purse,
+    gate: Gate,
 }
 
 /// All upstreams by pool, with what this node has seen of them.
@@ -140,7 +142,8 @@
     fn pool(&mut self, now: Instant, name: &id::Pool) -> &mut Pool {
         if !self.pools.contains_key(name) {
             let purse = Purse::new(self.bound, self.born, now);
-            self.pools.insert(name.clone(), Pool { seats: Vec::new(), purse });
+            let pool = Pool { seats: Vec::new(), purse, gate: Gate::new(now) };
+            self.pools.insert(name.clone(), pool);
         }
         self.pools.get_mut(name).unwrap_or_else(|| unreachable!())
     }
@@ -233,6 +236,16 @@
         self.pool(now, pool).purse.fill(now, nodes)
     }
 
+    /// Whether `pool` can be expected to serve a request with the number `luck`, from 0 to 1.
+    pub fn admits(&mut self, now: Instant, pool: &id::Pool, luck: f64) -> bool {
+        luck < self.pool(now, pool).gate.share(now)
+    }
+
+    /// Records what became of a request at `pool`.
+    pub fn fared(&mut self, now: Instant, pool: &id::Pool, fare: Fare) {
+        self.pool(now, pool).gate.record(now, fare);
+    }
+
     /// Records that an attempt was sent.
     pub fn sent(&mut self, now: Instant, seat: Seat) {
         if let Some(upstream) = self.upstreams.get_mut(&seat) {
--- a/crates/policy/tests/farm/mod.rs
+++ b/crates/policy/tests/farm/mod.rs
@@ -47,6 +47,8 @@
     /// Least share of pools in an answer.
     pub(crate) floor: usize,
     pub(crate) attempts: usize,
+    /// Whether pools that are short leave out requests.
+    pub(crate) admission: bool,
     /// Trouble of the upstream with this index in its pool, by pool.
     pub(crate) trouble: fn(pool: usize, upstream: usize) -> Trouble,
     pub(crate) seconds: u64,
@@ -63,6 +65,7 @@
             deadline: Duration::from_secs(2),
             floor: 9,
             attempts: 2,
+            admission: true,
             trouble: |_, _| Trouble::None,
             seconds: 20,
         }
@@ -76,6 +79,8 @@
     /// Sum over answers: share of pools squared within the goal, a tenth of it after.
     pub(crate) credit: f64,
     pub(crate) failed: usize,
+    /// Refused before anything was sent.
+    pub(crate) refused: usize,
     /// Longest time to an answer of any kind.
     pub(crate) longest: Duration,
     /// Extra attempts for each ordinary one.
@@ -207,7 +212,13 @@
                     deadline: now + scene.deadline,
                 };
                 outcome.asked += 1;
-                jobs.push(Some((node, at, Job::new(plan))));
+                let mut job = Job::new(plan);
+                if scene.admission && !job.admit(now, &mut nodes[node], rng.random()) {
+                    job.report(now, &mut nodes[node]);
+                    outcome.refused += 1;
+                    continue;
+                }
+                jobs.push(Some((node, at, job)));
                 jobs.len() - 1
             }
             Tick::Wake(job) => job,
@@ -266,6 +277,7 @@
         let elapsed = at - *arrived;
         outcome.longest = outcome.longest.max(elapsed);
         outcome.denied += job.denied();
+        job.report(now, &mut nodes[node]);
         let share = job.replied() as f64 / scene.pools as f64;
         match verdict {
             Verdict::Failed { .. } => outcome.failed += 1,
--- a/crates/policy/tests/relay_load.rs
+++ b/crates/policy/tests/relay_load.rs
@@ -31,6 +31,15 @@
     if (pool + upstream).is_multiple_of(3) { Trouble::None } else { Trouble::Sheds(0.6) }
 }
 
+/// One pool in six has one upstream left, which takes three times as long as usual.
+fn short(pool: usize, upstream: usize) -> Trouble {
+    match (pool % 6, upstream) {
+        (0, 0) => Trouble::Slow(3.0),
+        (0, _) => Trouble::Silent,
+        _ => Trouble::None,
+    }
+}
+
 fn failing(pool: usize, upstream: usize) -> Trouble {
     if (pool + upstream).is_multiple_of(5) { Trouble::Fails(0.4) } else { Trouble::None }
 }
@@ -101,3 +110,19 @@
     // Without the pool an answer is worth 0.81 at most.
     assert!(outcome.worth() >= 0.79, "{outcome:?}");
 }
+
+#[test]
+fn pools_that_are_short_serve_the_same_requests() {
+    // Two thirds more is asked of six pools than they can serve; an answer may lack one.
+    let scene = Scene { pools: 36, floor: 35, per_second: 110.0, ..Scene::default() };
+    let check = |trouble, gain: f64| {
+        let with = played(&Scene { trouble, ..scene.clone() });
+        let without = played(&Scene { trouble, admission: false, ..scene.clone() });
+        assert!(with.worth() >= without.worth() + gain, "{with:?} against {without:?}");
+    };
+    check(short, 0.15);
+    // It must not refuse where every pool can serve, though slowly.
+    check(|_, _| Trouble::None, -0.01);
+    check(slow, -0.01);
+    check(dark_pool, -0.01);
+}
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -24,6 +24,7 @@
         upstream::End,
     },
 };
+use rand::Rng;
 use tokio::sync::OwnedSemaphorePermit;
 
 use crate::{
@@ -119,9 +120,15 @@
     if node.accusations.lock().is_guilty(arrived, fingerprint) {
         return refuse(Reason::Quarantined, accusation::EXPIRY);
     }
-    let Some(job) = plan(&node, &table, &route, arrived, deadline) else {
+    let Some(mut job) = plan(&node, &table, &route, arrived, deadline) else {
         return refuse(Reason::Unreachable, RETRY_OUTAGE);
     };
+    let luck = node.with_rng(|rng| rng.random());
+    if !job.admit(arrived, &mut node.pools.lock(), luck) {
+        job.report(arrived, &mut node.pools.lock());
+        story::not_admitted(&node, &caller.request, &route, &job, luck);
+        return answer::failed(Fate::NotRun, Reason::Overload, Some(RETRY_SOON));
+    }
     let mut work = Work {
         template: template(&head),
         story: Story::new(&node, &caller.request, &route, table.generation, arrived),
@@ -255,6 +262,7 @@
         {
             tokio::spawn(finish(attempts, place));
         }
+        job.report(node.now(), &mut node.pools.lock());
         self.story.end(&job, verdict);
         self.answer(&job, verdict, parts, refusal)
     }
--- a/crates/relay/src/story.rs
+++ b/crates/relay/src/story.rs
@@ -180,6 +180,29 @@
     }
 }
 
+/// Records that a request was refused because pools that it needs are short of capacity.
+pub(crate) fn not_admitted(
+    node: &Node,
+    request: &HeaderValue,
+    route: &Route,
+    job: &Job,
+    luck: f64,
+) {
+    let reason = Reason::Overload;
+    node.metrics.requests.with_label_values(&["refused", &reason.to_string()]).inc();
+    if node.journal.allows(node.now(), Kind::Refused) {
+        let request = request.to_str().unwrap_or("unknown");
+        let short: Vec<&str> = job.short().map(id::Pool::as_str).collect();
+        let (short, floor, pools) = (short.join(" "), job.plan().floor, job.plan().pools.len());
+        let route = route.name.as_str();
+        let luck = format!("{luck:.2}");
+        tracing::warn!(
+            request, route, %reason, short, luck, floor, pools,
+            "request refused, not run: too many of its pools are short of capacity"
+        );
+    }
+}
+
 /// Records that a request was not one that can be served.
 pub(crate) fn rejected(node: &Node, head: &request::Parts, status: StatusCode) {
     node.metrics.requests.with_label_values(&["rejected", status.as_str()]).inc();
