One refusal alone is forgiven

The test is right: one refusal may be a full queue of a moment.

Change: the share starts to count with the second refusal within five seconds. The test is unchanged.

--- a/crates/policy/src/relay/upstream.rs
+++ b/crates/policy/src/relay/upstream.rs
@@ -88,6 +88,7 @@
     next: usize,
     failures: Share,
     refusals: Share,
+    refused_at: Option<Instant>,
     connect_failures: u32,
     shed_until: Option<Instant>,
     down_until: Option<Instant>,
@@ -104,6 +105,7 @@
             next: 0,
             failures: Share::default(),
             refusals: Share::default(),
+            refused_at: None,
             connect_failures: 0,
             shed_until: None,
             down_until: None,
@@ -132,7 +134,11 @@
             }
             End::Refused => {
                 self.shed_until = Some(now + SHED_PAUSE);
-                self.refusals.take(now, true);
+                // One alone may be a full queue of a moment.
+                let recent = |at: Instant| now.saturating_duration_since(at) < SHARE_AGE;
+                if self.refused_at.replace(now).is_some_and(recent) {
+                    self.refusals.take(now, true);
+                }
             }
             End::Replaced => self.replaced = true,
             End::Unreached => self.back_off(now),
