A node that read a listing does not claim to know earlier removals

Cause: front-tastiota-16 started at 21.5 s and read all entries, which stand at revision 1324. A listing holds no removals, but the node answered peers that asked for what came after 1215 as if it knew them all: 80 changes, where other peers told 109. front-guaymas-14 asked it, took 1324 for known, and kept the 29 upstreams that had gone. Found while tracing, not seen: a listing read from a stale replica after a peer had told more would bring back what had gone.

Ruled out, by the logs: a stale read that claims a newer revision (first reads say 1215 where their newest entry is 1214); a watch that skipped changes.

Change: what a node can tell of removals begins at its listing; who asks for more gets everything. An older listing updates entries, but adds none.

--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -11,6 +11,7 @@
 pub mod naming;
 pub mod pool;
 pub mod registry;
+pub mod retry;
 pub mod route;
 pub mod spend;
 pub mod upstream;
--- a/crates/policy/src/relay/registry.rs
+++ b/crates/policy/src/relay/registry.rs
@@ -86,7 +86,7 @@
     held: FastMap<SmolStr, Held>,
     revision: Revision,
     last_change: Revision,
-    /// Revision before which removals have been forgotten.
+    /// Revision before which removals are not known, or no longer.
     horizon: Revision,
     fade: Duration,
     version: u64,
@@ -140,9 +140,11 @@
         news
     }
 
-    /// Takes in all entries as they were at `at`, read from the platform: what is not among
-    /// them has gone. Returns what was news.
+    /// Takes in all entries as they were at `at`: what is not among them has gone. Returns what
+    /// was news.
     pub fn replace(&mut self, now: Instant, entries: Vec<Event>, at: Revision) -> Vec<Event> {
+        // A listing does not tell what was removed before it.
+        self.horizon = self.horizon.max(at);
         let listed: Vec<&SmolStr> = entries.iter().map(|e| &e.key).collect();
         let gone = |(key, held): (&SmolStr, &Held)| {
             let missing = held.change != Change::Removed && !listed.contains(&key);
@@ -150,7 +152,9 @@
             (missing && held.revision <= at).then_some(event)
         };
         let mut gone: Vec<Event> = self.held.iter().filter_map(gone).collect();
-        gone.extend(entries);
+        // An older listing may name what has gone since, and that will not be told again.
+        let is_newer = at >= self.revision;
+        gone.extend(entries.into_iter().filter(|e| is_newer || self.held.contains_key(&e.key)));
         self.apply(now, gone, at)
     }
 
@@ -235,7 +239,7 @@
             return;
         }
         removed.sort_unstable();
-        self.horizon = removed[removed.len() / 2];
+        self.horizon = self.horizon.max(removed[removed.len() / 2]);
         let horizon = self.horizon;
         self.held.retain(|_, h| !(done(h) && h.revision <= horizon));
     }
--- a/crates/policy/tests/relay_registry.rs
+++ b/crates/policy/tests/relay_registry.rs
@@ -164,3 +164,32 @@
     let coverage = registry.coverage();
     assert_eq!((coverage.get("a"), coverage.get("b")), (Some(&2), Some(&1)));
 }
+
+#[test]
+fn a_node_that_read_a_listing_does_not_claim_to_know_earlier_removals() {
+    let now = Instant::now();
+    let mut behind = Registry::new(DRAIN);
+    behind.apply(now, vec![put("a", 1), put("b", 2)], Revision(2));
+    // It starts after "a" has gone, and knows nothing of it.
+    let mut started = Registry::new(DRAIN);
+    started.replace(now, vec![put("b", 2), put("c", 4)], Revision(4));
+    assert_eq!(started.since(Revision(2)), None);
+    behind.replace(now, started.all(), started.revision());
+    behind.tick(now + FADE);
+    assert_eq!(usable(&behind), [ready("b"), ready("c")]);
+    // What came after its listing it can tell.
+    started.apply(now, vec![event("c", 5, Change::Removed)], Revision(5));
+    assert_eq!(started.since(Revision(4)).map(|events| events.len()), Some(1));
+}
+
+#[test]
+fn a_listing_older_than_what_is_known_brings_nothing_back() {
+    let now = Instant::now();
+    let mut registry = Registry::new(DRAIN);
+    // A peer told everything up to 5; "a", which went at 3, is not among it.
+    registry.replace(now, vec![put("b", 2), put("c", 5)], Revision(5));
+    let news = registry.replace(now, vec![put("a", 1), put("b", 2)], Revision(2));
+    assert_eq!(news, []);
+    assert_eq!(usable(&registry), [ready("b"), ready("c")]);
+    assert_eq!(registry.revision(), Revision(5));
+}
--- /dev/null
+++ b/crates/policy/tests/relay_retry.rs
@@ -0,0 +1,35 @@
+//! When callers are told to come back.
+
+use std::time::Duration;
+
+use policy::{
+    outcome::Reason,
+    relay::{
+        accusation,
+        retry::{after, spread},
+    },
+};
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+#[test]
+fn callers_come_back_at_once_only_where_that_may_help() {
+    // The shortest goals are 60 ms; an answer takes about half of them.
+    for reason in [Reason::Overload, Reason::Failed, Reason::Lost, Reason::BadReply] {
+        assert!(after(reason) <= ms(30), "{reason}");
+    }
+    for reason in [Reason::Unreachable, Reason::Draining] {
+        assert!(after(reason) >= ms(1_000), "{reason}");
+    }
+    assert_eq!(after(Reason::Quarantined), accusation::EXPIRY);
+}
+
+#[test]
+fn callers_refused_in_the_same_moment_come_back_spread_out() {
+    let typical = ms(30);
+    let times: Vec<Duration> = (0..=10).map(|n| spread(typical, f64::from(n) / 10.0)).collect();
+    assert!(times.windows(2).all(|pair| pair[1] - pair[0] >= ms(2)), "{times:?}");
+    assert_eq!((times[0], times[10]), (ms(15), ms(45)));
+}
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -56,7 +56,7 @@
     };
     let mut response = plain(status, &reason.to_string());
     if let Some(retry) = retry {
-        let seconds = format!("{:.2}", retry.as_secs_f64());
+        let seconds = format!("{:.3}", retry.as_secs_f64());
         if let Ok(value) = HeaderValue::from_str(&seconds) {
             response.headers_mut().insert(header::RETRY_AFTER, value);
         }
--- a/crates/relay/src/catalog.rs
+++ b/crates/relay/src/catalog.rs
@@ -147,7 +147,8 @@
         }
     };
     if whole && !node.informed.swap(true, Ordering::Relaxed) {
-        tracing::info!(revision = %changes.until, "all registered upstreams are known");
+        let newest = node.registry.lock().last_change();
+        tracing::info!(revision = %changes.until, %newest, "all registered upstreams are known");
     }
     for event in &news {
         if node.journal.allows(now, Kind::Belief) {
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -20,6 +20,7 @@
         job::{Job, Plan, Send, Verdict},
         merge,
         pool::Seat,
+        retry,
         route::{Route, Table, Target},
         upstream::End,
     },
@@ -41,12 +42,6 @@
 /// Time for which attempts that are no longer needed may still end, so that their connections
 /// can be used again.
 const LEFTOVER: Duration = Duration::from_millis(1_000);
-/// Time after which a caller may come back where the cause passes within moments.
-const RETRY_SOON: Duration = Duration::from_millis(100);
-/// Time after which a caller may come back when a pool has no upstream.
-const RETRY_OUTAGE: Duration = Duration::from_millis(1_000);
-/// Time after which a caller may come back to a node that has just started.
-const RETRY_STARTING: Duration = Duration::from_millis(300);
 
 /// An attempt's end with what it was for.
 struct Done {
@@ -77,13 +72,13 @@
     let _serving = Serving(node.clone());
     let refuse = |reason, retry| {
         story::refused(&node, &head, reason);
-        answer::failed(Fate::NotRun, reason, Some(retry))
+        answer::failed(Fate::NotRun, reason, Some(spread(&node, retry)))
     };
     if others >= node.settings.requests {
-        return refuse(Reason::Overload, RETRY_SOON);
+        return refuse(Reason::Overload, retry::BUSY);
     }
     let Some(table) = node.table() else {
-        return refuse(Reason::NotReady, RETRY_STARTING);
+        return refuse(Reason::NotReady, retry::after(Reason::NotReady));
     };
     let host = host(&head);
     let Some(route) = table.find(&host, head.uri.path()).cloned() else {
@@ -101,7 +96,7 @@
     // A body of unknown length may be as long as allowed.
     let expected = hyper::body::Body::size_hint(&body).upper().map_or(limit, |n| n as usize);
     let Some(_held) = node.memory.take(expected.min(limit)) else {
-        return refuse(Reason::Overload, RETRY_SOON);
+        return refuse(Reason::Overload, retry::BUSY);
     };
     let patience = caller.patience.unwrap_or(route.timeout).min(route.timeout);
     let deadline = arrived + patience;
@@ -118,16 +113,17 @@
     };
     let fingerprint = fingerprint(&host, &head, &body);
     if node.accusations.lock().is_guilty(arrived, fingerprint) {
-        return refuse(Reason::Quarantined, accusation::EXPIRY);
+        return refuse(Reason::Quarantined, retry::after(Reason::Quarantined));
     }
     let Some(mut job) = plan(&node, &table, &route, arrived, deadline) else {
-        return refuse(Reason::Unreachable, RETRY_OUTAGE);
+        return refuse(Reason::Unreachable, retry::after(Reason::Unreachable));
     };
     let luck = node.with_rng(|rng| rng.random());
     if !job.admit(arrived, &mut node.pools.lock(), luck) {
         job.report(arrived, &mut node.pools.lock());
         story::not_admitted(&node, &caller.request, &route, &job, luck);
-        return answer::failed(Fate::NotRun, Reason::Overload, Some(RETRY_SOON));
+        let retry = spread(&node, retry::after(Reason::Overload));
+        return answer::failed(Fate::NotRun, Reason::Overload, Some(retry));
     }
     let mut work = Work {
         template: template(&head),
@@ -360,7 +356,7 @@
                 Some(received) if fate == Fate::Ran && matches!(target, Target::One(_)) => {
                     relayed(received)
                 }
-                _ => answer::failed(fate, reason, retry_after(reason)),
+                _ => answer::failed(fate, reason, Some(spread(node, retry::after(reason)))),
             },
         }
     }
@@ -400,12 +396,9 @@
     let _ = tokio::time::timeout(LEFTOVER, all).await;
 }
 
-fn retry_after(reason: Reason) -> Option<Duration> {
-    Some(match reason {
-        Reason::Unreachable | Reason::Draining => RETRY_OUTAGE,
-        Reason::Quarantined => accusation::EXPIRY,
-        _ => RETRY_SOON,
-    })
+/// A time near `typical`, another one for each caller.
+fn spread(node: &Node, typical: Duration) -> Duration {
+    retry::spread(typical, node.with_rng(|rng| rng.random()))
 }
 
 fn relayed(received: Received) -> Response<Body> {
