Causes of failed attempts name what is behind them; crashes name the request

Cause: hyper's outermost error says "connection error" and no more; a refusal of an accused request named no fingerprint, and an accusation no request, so the two could not be joined by id.

Change: the cause of an attempt is the whole chain of errors; "an upstream crashed while it ran this request" and the refusal of a quarantined request carry id and fingerprint.

--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -158,6 +158,14 @@
     }
 }
 
+/// An error with what caused it: the outermost of hyper's says little.
+fn chain(error: &dyn std::error::Error) -> String {
+    let causes = std::iter::successors(Some(error), |e| e.source());
+    let mut texts: Vec<String> = causes.map(ToString::to_string).collect();
+    texts.dedup_by(|inner, outer| outer.ends_with(inner.as_str()));
+    texts.join(": ")
+}
+
 /// Why a reply's body was not received whole.
 #[derive(Debug, thiserror::Error)]
 enum BodyError {
@@ -197,7 +205,7 @@
         let opened = self.open(&node, address, limit, message.repeatable);
         let mut sender = match tokio::time::timeout(left, opened).await {
             Ok(Ok(sender)) => sender,
-            Ok(Err(e)) => return Ended::without(End::Unreached, e),
+            Ok(Err(e)) => return Ended::without(End::Unreached, chain(&e)),
             Err(_) => return Ended::without(End::Unreached, "no connection in time"),
         };
         let now = node.now();
@@ -215,7 +223,7 @@
             Err(mut e) => {
                 let unsent = e.take_message().is_some();
                 let end = if unsent { End::Unreached } else { End::Lost };
-                return Ended::without(end, e.error());
+                return Ended::without(end, chain(e.error()));
             }
         };
         self.receive(&node, node.codec.as_ref(), sender, &id, response).await
@@ -237,7 +245,7 @@
         }
         let (body, held) = match read_body(node, body).await {
             Ok(read) => read,
-            Err(e) => return Ended::without(End::Broken, e),
+            Err(e) => return Ended::without(End::Broken, chain(&e)),
         };
         if sender.ready().await.is_ok() {
             self.put_back(node, sender, reply.keep_alive);
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -113,7 +113,9 @@
     };
     let fingerprint = fingerprint(&host, &head, &body);
     if node.accusations.lock().is_guilty(arrived, fingerprint) {
-        return refuse(Reason::Quarantined, retry::after(Reason::Quarantined));
+        let reason = Reason::Quarantined;
+        story::quarantined(&node, &caller.request, fingerprint);
+        return answer::failed(Fate::NotRun, reason, Some(spread(&node, retry::after(reason))));
     }
     let Some(mut job) = plan(&node, &table, &route, arrived, deadline) else {
         return refuse(Reason::Unreachable, retry::after(Reason::Unreachable));
@@ -296,6 +298,7 @@
     fn investigate(&self, seat: Seat, address: SocketAddr) {
         let node = self.node.clone();
         let links = node.links.links(seat);
+        let request = self.id.clone();
         let notice = accusation::Notice {
             fingerprint: self.fingerprint,
             arrival: self.arrival,
@@ -303,6 +306,9 @@
         };
         tokio::spawn(async move {
             let guilty = links.investigate(node.clone(), address, notice).await;
+            if guilty.contains(&notice) {
+                story::suspected(&node, &request, notice.fingerprint, address);
+            }
             accuse(&node, &guilty);
         });
     }
--- a/crates/relay/src/story.rs
+++ b/crates/relay/src/story.rs
@@ -180,6 +180,31 @@
     }
 }
 
+/// Records that a request was refused because the same one is accused of crashing upstreams.
+pub(crate) fn quarantined(node: &Node, request: &HeaderValue, fingerprint: u64) {
+    let reason = Reason::Quarantined;
+    node.metrics.requests.with_label_values(&["refused", &reason.to_string()]).inc();
+    if node.journal.allows(node.now(), Kind::Refused) {
+        let request = request.to_str().unwrap_or("unknown");
+        let fingerprint = format!("{fingerprint:016x}");
+        tracing::warn!(request, %reason, fingerprint, "request refused, not run");
+    }
+}
+
+/// Records that an upstream crashed while it ran a request.
+pub(crate) fn suspected(
+    node: &Node,
+    request: &HeaderValue,
+    fingerprint: u64,
+    upstream: std::net::SocketAddr,
+) {
+    if node.journal.allows(node.now(), Kind::Belief) {
+        let request = request.to_str().unwrap_or("unknown");
+        let fingerprint = format!("{fingerprint:016x}");
+        tracing::warn!(request, fingerprint, %upstream, "an upstream crashed while it ran this request");
+    }
+}
+
 /// Records that a request was refused because pools that it needs are short of capacity.
 pub(crate) fn not_admitted(
     node: &Node,
