balsamctl why: a request's story out of nodes' logs

Cause: from an id to its cause took several greps over many files, and what the deciding node believed then had to be found by hand.

--- a/crates/balsamctl/src/main.rs
+++ b/crates/balsamctl/src/main.rs
@@ -3,6 +3,7 @@
 mod ask;
 mod files;
 mod status;
+mod why;
 
 use std::{net::SocketAddr, path::PathBuf, process::ExitCode};
 
@@ -78,6 +79,16 @@
         #[bpaf(positional("CLASS"))]
         class: base::id::Class,
     },
+    /// Tells a request's story from the logs of nodes that relay requests.
+    #[bpaf(command)]
+    Why {
+        /// Id of the request
+        #[bpaf(positional("ID"))]
+        request: String,
+        /// Log files, one of each node; standard input if absent
+        #[bpaf(positional("LOG"))]
+        logs: Vec<PathBuf>,
+    },
     /// Shows the state of nodes.
     #[bpaf(command)]
     Status {
@@ -147,6 +158,7 @@
         Command::Check { file } => files::check(&file),
         Command::Diff { format, old, new } => files::diff(&old, &new, format),
         Command::Explain { file, class } => files::explain(&file, &class),
+        Command::Why { request, logs } => why::show(&request, &logs),
         Command::Status { format, nodes } => on_runtime(status::show(&nodes, format)),
         Command::Stop { node } => on_runtime(status::stop(node)),
         Command::Addresses { format, caller, node } => {
--- a/crates/balsamgate/tests/relay.rs
+++ b/crates/balsamgate/tests/relay.rs
@@ -289,6 +289,46 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn the_log_stays_within_its_rate_and_counts_what_it_leaves_out() {
+    const RATE: usize = 20;
+    const BURSTS: usize = 3;
+    const BURST: usize = 100;
+    let scene = scene(1).await;
+    scene.store.set_mode(Mode::Silent);
+    for burst in 0..BURSTS {
+        let asks: Vec<Ask> =
+            (0..BURST).map(|n| ask("/search/x", &format!("load-{burst}-{n}"))).collect();
+        let searches = asks.iter().map(|ask| scene.send(0, ask));
+        let answers = futures::future::join_all(searches).await;
+        assert!(answers.iter().all(|a| a.as_ref().is_ok_and(|a| a.status == 200)), "{answers:?}");
+        tokio::time::sleep(Duration::from_millis(1_100)).await;
+    }
+    // Counts are written with the next line of the second after.
+    scene.get(0, "/search/x", "last").await;
+    let told = async || {
+        let log = scene.fleet.nodes[0].log_text();
+        let answered = log.lines().filter(|l| l.contains("request answered")).count();
+        let left_out = log.lines().filter_map(|l| left_out(l, &["answered", "partial"]));
+        (answered, left_out.sum::<usize>())
+    };
+    eventually("all answers are told or counted", async || {
+        let (answered, left_out) = told().await;
+        answered + left_out == BURSTS * BURST + 1
+    })
+    .await;
+    let (answered, _) = told().await;
+    // Whole and partial answers have a bound each; a burst may meet two seconds.
+    assert!(answered <= 2 * 2 * RATE * BURSTS + 1, "{answered} lines");
+}
+
+/// The count of a line on lines of these `kinds` that were left out.
+fn left_out(line: &str, kinds: &[&str]) -> Option<usize> {
+    let line: serde_json::Value = serde_json::from_str(line).ok()?;
+    let kind = line.get("kind")?.as_str()?;
+    kinds.contains(&kind).then(|| line.get("left_out")?.as_u64()).flatten().map(|n| n as usize)
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_planned_stop_cuts_off_no_request_and_is_not_named_meanwhile() {
     let mut scene = scene(3).await;
