--- a/crates/balsamgate/tests/fleet/mod.rs
+++ b/crates/balsamgate/tests/fleet/mod.rs
@@ -32,6 +32,7 @@
 #[derive(Debug)]
 pub(crate) struct Process {
     pub(crate) ip: IpAddr,
+    program: PathBuf,
     child: Option<Child>,
     /// Its standard output is a pipe that nobody reads.
     unread: bool,
@@ -54,7 +55,7 @@
 
     pub(crate) fn start(&mut self) {
         let log = File::options().append(true).create(true).open(&self.log).expect("log file");
-        let child = Command::new(PROGRAM)
+        let child = Command::new(&self.program)
             .args(["relay", "--settings"])
             .arg(&self.settings)
             .stdout(match self.unread {
@@ -67,6 +68,11 @@
         self.child = Some(child.expect("the program starts"));
     }
 
+    /// The process's id, while it runs.
+    pub(crate) fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Sends a signal to the process, by its id.
     pub(crate) fn signal(&self, name: &str) {
         let Some(child) = &self.child else { return };
@@ -133,6 +139,18 @@
 
     /// The same; `unread` nodes log all they can to a pipe that nobody reads.
     pub(crate) fn start_with(count: u8, store: SocketAddr, unread: bool) -> Fleet {
+        let log = if unread { "rate = 100000" } else { "rate = 20" };
+        Fleet::start_program(PROGRAM.into(), count, store, log, unread)
+    }
+
+    /// The same of `program`, with the lines `log` in the settings' section on logs.
+    pub(crate) fn start_program(
+        program: PathBuf,
+        count: u8,
+        store: SocketAddr,
+        log: &str,
+        unread: bool,
+    ) -> Fleet {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
         let process = std::process::id();
@@ -152,15 +170,15 @@
                  [fleet]\nseeds = {}\n[platform]\naddress = {store}\n\
                  [bounds]\napply = 3 s\ndrain = {} ms\ngrace = {} ms\n\
                  [extra]\nratio = 0.2\nslack = 100\n[limits]\nbuffer = 1048576\n\
-                 [log]\nrate = {}\n",
+                 [log]\n{log}\n",
                 seeds.join(","),
                 DRAIN.as_millis(),
                 GRACE.as_millis(),
-                if unread { 100_000 } else { 20 },
             );
             std::fs::write(&settings, text).expect("settings file");
             let log = directory.join(format!("node-{n}.log"));
-            let mut process = Process { ip, child: None, unread, settings, log };
+            let program = program.clone();
+            let mut process = Process { ip, program, child: None, unread, settings, log };
             process.start();
             process
         };
--- a/crates/config/src/relay.rs
+++ b/crates/config/src/relay.rs
@@ -49,7 +49,7 @@
     pub extra_window: Duration,
     /// Requests that the node serves at a time.
     pub requests: usize,
-    /// Bytes of request bodies that the node holds at a time.
+    /// Bytes of request and reply bodies that the node holds at a time.
     pub buffer: usize,
     /// Level of the log.
     pub log_level: String,
@@ -84,7 +84,7 @@
     "[extra] slack", "0 to 100000", "0", "Second attempts to a pool besides, over all nodes";
     "[extra] window", "1 s to 5 min", "10 s", "Window that ratio and slack hold in";
     "[limits] requests", "1 to 100000", "512", "Requests served at a time";
-    "[limits] buffer", "1048576 to 4294967296 bytes", "33554432", "Bytes of request bodies held at a time";
+    "[limits] buffer", "1048576 to 4294967296 bytes", "33554432", "Bytes of request and reply bodies held at a time";
     "[log] level", "off, error, warn, info, debug or trace", "info", "Level of the log";
     "[log] rate", "1 to 100000", "20", "Log lines of one kind a second; the others are counted";
 }
