--- a/crates/policy/src/relay/admission.rs
+++ b/crates/policy/src/relay/admission.rs
@@ -28,20 +28,20 @@
 
 /// What became of a request at one pool.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Fare {
+pub enum Sample {
     /// It was served.
     Served,
     /// It was sent, and not served in time.
     Failed,
     /// It was not admitted.
-    LeftOut,
+    Refused,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
 struct Counts {
     served: u32,
     failed: u32,
-    left_out: u32,
+    refused: u32,
 }
 
 /// Share of requests that one pool can serve, as one node sees it.
@@ -59,13 +59,13 @@
     }
 
     /// Records what became of a request.
-    pub fn record(&mut self, now: Instant, fare: Fare) {
+    pub fn record(&mut self, now: Instant, sample: Sample) {
         self.advance(now);
         let counts = &mut self.steps[self.at];
-        match fare {
-            Fare::Served => counts.served += 1,
-            Fare::Failed => counts.failed += 1,
-            Fare::LeftOut => counts.left_out += 1,
+        match sample {
+            Sample::Served => counts.served += 1,
+            Sample::Failed => counts.failed += 1,
+            Sample::Refused => counts.refused += 1,
         }
     }
 
@@ -74,7 +74,7 @@
         self.advance(now);
         let sum = |of: fn(&Counts) -> u32| self.steps.iter().map(of).sum::<u32>();
         let (served, failed) = (sum(|c| c.served), sum(|c| c.failed));
-        let wanted = served + failed + sum(|c| c.left_out);
+        let wanted = served + failed + sum(|c| c.refused);
         if wanted < FEW {
             return 1.0;
         }
--- a/crates/policy/src/relay/job.rs
+++ b/crates/policy/src/relay/job.rs
@@ -10,7 +10,7 @@
 use rand::RngCore;
 
 use super::{
-    admission::Fare,
+    admission::Sample,
     pool::{Choice, Pools, Seat},
     upstream::End,
 };
@@ -129,14 +129,14 @@
         Job { plan, parts, replied: 0, lost: 0, denied: 0, refused: false }
     }
 
-    /// Whether enough pools can be expected to serve a request with the number `luck`, from 0
+    /// Whether enough pools can be expected to serve a request with the number `draw`, from 0
     /// to 1. If not, nothing is to be sent: the request is refused.
-    pub fn admit(&mut self, now: Instant, pools: &mut Pools, luck: f64) -> bool {
+    pub fn admit(&mut self, now: Instant, pools: &mut Pools, draw: f64) -> bool {
         if self.parts.len() < 2 {
             return true;
         }
         for (part, pool) in self.parts.iter_mut().zip(&self.plan.pools) {
-            part.short = !pools.admits(now, pool, luck);
+            part.short = !pools.admits(now, pool, draw);
         }
         let short = self.parts.iter().filter(|p| p.short).count();
         let admitted = self.parts.len() - short >= self.plan.floor;
@@ -151,15 +151,15 @@
         }
         let late = now >= self.cut();
         for (part, pool) in self.parts.iter().zip(&self.plan.pools) {
-            let fare = match part {
-                Part { short: true, .. } if self.refused => Fare::LeftOut,
-                Part { replied: true, .. } => Fare::Served,
-                Part { lost: true, .. } => Fare::Failed,
-                Part { tried, .. } if late && !tried.is_empty() => Fare::Failed,
+            let sample = match part {
+                Part { short: true, .. } if self.refused => Sample::Refused,
+                Part { replied: true, .. } => Sample::Served,
+                Part { lost: true, .. } => Sample::Failed,
+                Part { tried, .. } if late && !tried.is_empty() => Sample::Failed,
                 // It might have been served, had the request gone on.
                 _ => continue,
             };
-            pools.fared(now, pool, fare);
+            pools.record(now, pool, sample);
         }
     }
 
--- a/crates/policy/src/relay/pool.rs
+++ b/crates/policy/src/relay/pool.rs
@@ -14,7 +14,7 @@
 use smol_str::SmolStr;
 
 use super::{
-    admission::{Fare, Gate},
+    admission::{Gate, Sample},
     registry::{Entry, Registry, Standing},
     spend::{Bound, Purse},
     upstream::{End, Stats, Upstream},
@@ -236,14 +236,14 @@
         self.pool(now, pool).purse.fill(now, nodes)
     }
 
-    /// Whether `pool` can be expected to serve a request with the number `luck`, from 0 to 1.
-    pub fn admits(&mut self, now: Instant, pool: &id::Pool, luck: f64) -> bool {
-        luck < self.pool(now, pool).gate.share(now)
+    /// Whether `pool` can be expected to serve a request with the number `draw`, from 0 to 1.
+    pub fn admits(&mut self, now: Instant, pool: &id::Pool, draw: f64) -> bool {
+        draw < self.pool(now, pool).gate.share(now)
     }
 
     /// Records what became of a request at `pool`.
-    pub fn fared(&mut self, now: Instant, pool: &id::Pool, fare: Fare) {
-        self.pool(now, pool).gate.record(now, fare);
+    pub fn record(&mut self, now: Instant, pool: &id::Pool, sample: Sample) {
+        self.pool(now, pool).gate.record(now, sample);
     }
 
     /// Records that an attempt was sent.
--- a/crates/policy/tests/relay_admission.rs
+++ b/crates/policy/tests/relay_admission.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use policy::relay::admission::{Fare, Gate};
+use policy::relay::admission::{Gate, Sample};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -16,13 +16,13 @@
     for n in 0..50 {
         let now = start + ms(20) * n;
         // Spreads the requests' numbers evenly and out of order.
-        let luck = f64::from(n * 7 % 50) / 50.0;
-        let fare = match luck < gate.share(now) {
-            true if serves(n) => Fare::Served,
-            true => Fare::Failed,
-            false => Fare::LeftOut,
+        let draw = f64::from(n * 7 % 50) / 50.0;
+        let sample = match draw < gate.share(now) {
+            true if serves(n) => Sample::Served,
+            true => Sample::Failed,
+            false => Sample::Refused,
         };
-        gate.record(now, fare);
+        gate.record(now, sample);
     }
     gate.share(start + ms(20) * 49)
 }
@@ -90,7 +90,7 @@
     let start = Instant::now();
     let mut gate = Gate::new(start);
     for _ in 0..5 {
-        gate.record(start, Fare::Failed);
+        gate.record(start, Sample::Failed);
     }
     assert_eq!(gate.share(start), 1.0);
     play(&mut gate, start, |_| false);
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -119,10 +119,10 @@
     let Some(mut job) = plan(&node, &table, &route, arrived, patience) else {
         return refuse(Reason::Unreachable, retry::after(Reason::Unreachable));
     };
-    let luck = node.with_rng(|rng| rng.random());
-    if !job.admit(arrived, &mut node.pools.lock(), luck) {
+    let draw = node.with_rng(|rng| rng.random());
+    if !job.admit(arrived, &mut node.pools.lock(), draw) {
         job.report(arrived, &mut node.pools.lock());
-        story::not_admitted(&node, &caller.request, &route, &job, luck);
+        story::not_admitted(&node, &caller.request, &route, &job, draw);
         let retry = spread(&node, retry::after(Reason::Overload));
         return answer::failed(Fate::NotRun, Reason::Overload, Some(retry));
     }
--- a/crates/relay/src/story.rs
+++ b/crates/relay/src/story.rs
@@ -212,7 +212,7 @@
     request: &HeaderValue,
     route: &Route,
     job: &Job,
-    luck: f64,
+    draw: f64,
 ) {
     let reason = Reason::Overload;
     node.metrics.requests.with_label_values(&["refused", &reason.to_string()]).inc();
@@ -221,9 +221,9 @@
         let short: Vec<&str> = job.short().map(id::Pool::as_str).collect();
         let (short, floor, pools) = (short.join(" "), job.plan().floor, job.plan().pools.len());
         let route = route.name.as_str();
-        let luck = format!("{luck:.2}");
+        let draw = format!("{draw:.2}");
         tracing::warn!(
-            request, route, %reason, short, luck, floor, pools,
+            request, route, %reason, short, draw, floor, pools,
             "request refused, not run: too many of its pools are short of capacity"
         );
     }
