Each step from a lost connection to a refusal has a log line and a counter

Change: lines for loss, check and its result, report (own, or from which peer), quarantine, and drop by cause (suspects full, table full, message full, expired, cleared), with fingerprint and arrival; a counter for each. Expired entries are removed by the tick, where they were replaced only when the request came again. No decision changes.

--- a/crates/policy/src/relay/crash_quarantine.rs
+++ b/crates/policy/src/relay/crash_quarantine.rs
@@ -32,6 +32,33 @@
     pub remaining_ms: u32,
 }
 
+/// Effect of recording a crash report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Change {
+    /// The report was known, or has expired.
+    None,
+    /// The request is suspected now, by a report that was not known.
+    Suspected,
+    /// The report has put the request into quarantine.
+    Quarantined,
+}
+
+/// Result of recording a crash report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Recorded {
+    /// What the report changed.
+    pub change: Change,
+    /// Fingerprint whose reports were evicted because the table was full.
+    pub evicted: Option<u64>,
+}
+
+impl Recorded {
+    /// Returns whether the report was new.
+    pub fn is_new(self) -> bool {
+        self.change != Change::None
+    }
+}
+
 #[derive(Debug)]
 struct Suspect {
     /// Reported arrivals, without duplicates.
@@ -53,20 +80,23 @@
         CrashQuarantine::default()
     }
 
-    /// Records a crash report. Returns whether it was new.
-    pub fn record(&mut self, now: Instant, report: CrashReport) -> bool {
+    /// Records a crash report.
+    pub fn record(&mut self, now: Instant, report: CrashReport) -> Recorded {
         let remaining = Duration::from_millis(u64::from(report.remaining_ms)).min(REPORT_TTL);
         if remaining.is_zero() {
-            return false;
+            return Recorded { change: Change::None, evicted: None };
         }
+        let evicted = self.make_room(now, report.fingerprint);
         let suspect = self.suspect_mut(now, report.fingerprint);
         let arrivals = &mut suspect.arrivals;
         if arrivals.contains(&report.arrival) || arrivals.len() >= QUARANTINE_ARRIVALS {
-            return false;
+            return Recorded { change: Change::None, evicted };
         }
         arrivals.push(report.arrival);
+        let quarantined = arrivals.len() >= QUARANTINE_ARRIVALS;
         suspect.expires_at = suspect.expires_at.max(now + remaining);
-        true
+        let change = if quarantined { Change::Quarantined } else { Change::Suspected };
+        Recorded { change, evicted }
     }
 
     /// Returns whether the request must be refused.
@@ -77,12 +107,28 @@
     }
 
     /// Removes the reports on a request that an upstream has run without crashing. A request
-    /// that is already quarantined stays so.
-    pub fn clear_unconfirmed(&mut self, fingerprint: u64) {
-        let Some(suspect) = self.suspects.get(&fingerprint) else { return };
-        if suspect.arrivals.len() < QUARANTINE_ARRIVALS {
+    /// that is already quarantined stays so. Returns whether there were reports to remove.
+    pub fn clear_unconfirmed(&mut self, fingerprint: u64) -> bool {
+        let Some(suspect) = self.suspects.get(&fingerprint) else { return false };
+        let unconfirmed = suspect.arrivals.len() < QUARANTINE_ARRIVALS;
+        if unconfirmed {
             self.remove(fingerprint);
         }
+        unconfirmed
+    }
+
+    /// Removes the entries that have expired and returns their fingerprints.
+    pub fn expire(&mut self, now: Instant) -> Vec<u64> {
+        let expired = |f: &u64| self.suspects.get(f).is_none_or(|s| s.expires_at <= now);
+        let expired: Vec<u64> = self.order.iter().copied().filter(expired).collect();
+        expired.iter().for_each(|f| self.remove(*f));
+        expired
+    }
+
+    /// Returns the number of valid reports.
+    pub fn len(&self, now: Instant) -> usize {
+        let valid = self.suspects.values().filter(|s| s.expires_at > now);
+        valid.map(|s| s.arrivals.len()).sum()
     }
 
     /// Returns whether there are no reports.
@@ -106,18 +152,23 @@
         self.order.iter().rev().filter_map(reports_on).flatten().take(limit).collect()
     }
 
-    /// Returns the entry of `fingerprint`. Replaces an expired entry, and evicts the oldest one
-    /// if the table is full.
-    fn suspect_mut(&mut self, now: Instant, fingerprint: u64) -> &mut Suspect {
+    /// Makes room for an entry of `fingerprint`: evicts the oldest entry if the table is full,
+    /// and returns its fingerprint.
+    fn make_room(&mut self, now: Instant, fingerprint: u64) -> Option<u64> {
         if self.suspects.get(&fingerprint).is_some_and(|s| s.expires_at <= now) {
             self.remove(fingerprint);
         }
+        if self.suspects.contains_key(&fingerprint) || self.suspects.len() < MAX_FINGERPRINTS {
+            return None;
+        }
+        let oldest = self.order.front().copied()?;
+        self.remove(oldest);
+        Some(oldest)
+    }
+
+    /// Returns the entry of `fingerprint`, a new one if there is none.
+    fn suspect_mut(&mut self, now: Instant, fingerprint: u64) -> &mut Suspect {
         if !self.suspects.contains_key(&fingerprint) {
-            if self.suspects.len() >= MAX_FINGERPRINTS
-                && let Some(oldest) = self.order.front().copied()
-            {
-                self.remove(oldest);
-            }
             self.order.push_back(fingerprint);
         }
         let new = Suspect { arrivals: Vec::new(), expires_at: now };
--- a/crates/policy/tests/relay_crash_quarantine.rs
+++ b/crates/policy/tests/relay_crash_quarantine.rs
@@ -34,11 +34,11 @@
 fn reports_of_one_node_count_at_another() {
     let now = Instant::now();
     let (mut one, mut other) = (CrashQuarantine::new(), CrashQuarantine::new());
-    assert!(one.record(now, report(7, 1)));
-    assert!(other.record(now, report(7, 2)));
+    assert!(one.record(now, report(7, 1)).is_new());
+    assert!(other.record(now, report(7, 2)).is_new());
     for report in one.reports(now, 8) {
-        assert!(other.record(now, report));
-        assert!(!other.record(now, report), "a repeated report is not new");
+        assert!(other.record(now, report).is_new());
+        assert!(!other.record(now, report).is_new(), "a repeated report is not new");
     }
     assert!(other.is_quarantined(now, 7));
 }
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -5,6 +5,7 @@
 
 use std::{
     collections::VecDeque,
+    io,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -24,6 +25,7 @@
 use tokio::sync::Notify;
 
 use crate::{
+    crash,
     interface::{Codec, ReplyKind, ReplyMetadata},
     log_limiter::LogKind,
     memory::Reservation,
@@ -301,6 +303,7 @@
         {
             let suspects = &mut self.state.lock().suspects;
             if suspects.len() >= MAX_SUSPECTS {
+                crash::dropped(&node, Some(report.fingerprint), 1, crash::Drop::SuspectsFull);
                 return Vec::new();
             }
             suspects.push(report);
@@ -316,10 +319,15 @@
         let suspects = std::mem::take(&mut self.state.lock().suspects);
         match connected {
             Ok(sender) => {
+                crash::checked(&node, address, &suspects, "accepted", None);
                 self.release(&node, sender, None);
                 Vec::new()
             }
             Err(e) => {
+                let silent =
+                    matches!(&e, ConnectError::Socket(e) if e.kind() == io::ErrorKind::TimedOut);
+                let result = if silent { "silent" } else { "refused" };
+                crash::checked(&node, address, &suspects, result, Some(&e.to_string()));
                 if node.log_limiter.allows(node.now(), LogKind::RoutingState) {
                     let requests = suspects.len();
                     tracing::warn!(
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -30,8 +30,7 @@
 
 use crate::{
     connection::{AttemptRequest, AttemptResult, ReceivedReply},
-    log_limiter::LogKind,
-    membership,
+    crash,
     node::Node,
     request_log::{self, RequestLog},
     response::{self, Body},
@@ -319,12 +318,14 @@
             arrival: self.arrival,
             remaining_ms: crash_quarantine::REPORT_TTL.as_millis() as u32,
         };
+        let id = request_id.to_str().unwrap_or("unknown");
+        crash::lost(&node, id, report, address, request_log::end_name(AttemptEnd::ConnectionLost));
         tokio::spawn(async move {
             let reports = connections.detect_crash(node.clone(), address, report).await;
             if reports.contains(&report) {
                 request_log::upstream_crashed(&node, &request_id, report.fingerprint, address);
             }
-            publish_reports(&node, &reports);
+            crash::publish(&node, &reports, None);
         });
     }
 
@@ -367,8 +368,8 @@
         failure_reply: Option<ReceivedReply>,
     ) -> Response<Body> {
         let node = &self.node;
-        if !replies.is_empty() {
-            node.crash_quarantine.lock().clear_unconfirmed(self.fingerprint);
+        if !replies.is_empty() && node.crash_quarantine.lock().clear_unconfirmed(self.fingerprint) {
+            crash::dropped(node, Some(self.fingerprint), 1, crash::Drop::Cleared);
         }
         match (completion, &self.route.target) {
             (Completion::Complete | Completion::Partial, Target::FanOut { top_k, .. }) => {
@@ -409,25 +410,6 @@
     }
 }
 
-/// Records `reports` in the crash quarantine and gossips those that are new.
-fn publish_reports(node: &Node, reports: &[CrashReport]) {
-    let now = node.now();
-    let new_reports = {
-        let mut quarantine = node.crash_quarantine.lock();
-        // `any` would stop at the first new report; all of them must be recorded.
-        reports.iter().filter(|report| quarantine.record(now, **report)).count()
-    };
-    if new_reports == 0 {
-        return;
-    }
-    if node.log_limiter.allows(now, LogKind::RoutingState) {
-        let fingerprints = reports.iter().map(|r| format!("{:016x}", r.fingerprint));
-        let fingerprints = fingerprints.collect::<Vec<_>>().join(" ");
-        tracing::warn!(fingerprints, "requests accused of crashing an upstream");
-    }
-    membership::gossip_now(node);
-}
-
 /// Waits for the remaining attempts of an answered request; drops those that exceed the timeout,
 /// which closes their connections.
 async fn await_detached(mut attempts: Attempts, _permit: OwnedSemaphorePermit) {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -7,6 +7,7 @@
 //! either.
 
 pub mod connection;
+mod crash;
 pub mod forward;
 pub mod http_server;
 pub mod interface;
--- a/crates/relay/src/log_limiter.rs
+++ b/crates/relay/src/log_limiter.rs
@@ -27,10 +27,12 @@
     RoutingState,
     /// A change in the node's view of its peers.
     Peer,
+    /// A step from a lost connection to a crash report.
+    Crash,
 }
 
 /// Values of the log field `kind`, in the order of the variants.
-const KINDS: [(LogKind, &str); 8] = [
+const KINDS: [(LogKind, &str); 9] = [
     (LogKind::Answered, "answered"),
     (LogKind::Partial, "partial"),
     (LogKind::Failed, "failed"),
@@ -39,6 +41,7 @@
     (LogKind::SecondAttempt, "second"),
     (LogKind::RoutingState, "belief"),
     (LogKind::Peer, "peer"),
+    (LogKind::Crash, "crash"),
 ];
 /// Period to which the rate applies.
 const WINDOW: Duration = Duration::from_secs(1);
--- a/crates/relay/src/membership.rs
+++ b/crates/relay/src/membership.rs
@@ -12,7 +12,7 @@
 };
 use policy::{
     adoption::Stamp,
-    membership::{MAX_CRASH_REPORTS, Membership, OutboundMessage, Piggyback, Record, Status},
+    membership::{Membership, OutboundMessage, Piggyback, Record, Status},
     relay::{
         node_selection::{self, Candidate},
         watch,
@@ -24,6 +24,7 @@
 use wire::heartbeat;
 
 use crate::{
+    crash,
     log_limiter::LogKind,
     node::{Directory, Node},
     peer, platform_watch,
@@ -92,6 +93,7 @@
     send(node, messages);
     platform_watch::sync_pools(node);
     node.connections.close_expired(node.now());
+    crash::expire(node, node.now());
     if divergent {
         tokio::spawn(fetch_members(node.clone()));
     }
@@ -107,12 +109,6 @@
             return;
         }
     };
-    let has_new_reports = {
-        let now = node.now();
-        let mut quarantine = node.crash_quarantine.lock();
-        // `any` would stop at the first new report; all of them must be recorded.
-        message.accusations.iter().filter(|report| quarantine.record(now, **report)).count() > 0
-    };
     let piggyback = piggyback(node);
     let replies = {
         let mut membership = node.membership.lock();
@@ -121,9 +117,7 @@
         replies
     };
     send(node, replies);
-    if has_new_reports {
-        gossip_now(node);
-    }
+    crash::publish(node, &message.accusations, Some(message.sender.node));
     let data_age = message.word_age_ms.map(|ms| Duration::from_millis(u64::from(ms)));
     let data_time = data_age.and_then(|age| node.now().checked_sub(age));
     let announced = PlatformState {
@@ -148,14 +142,7 @@
 fn piggyback(node: &Node) -> Piggyback {
     let stamp = Stamp { generation: node.generation(), digest: 0 };
     let revision = node.registry.lock().last_change();
-    let accusations = {
-        let quarantine = node.crash_quarantine.lock();
-        if quarantine.is_empty() {
-            Vec::new()
-        } else {
-            quarantine.reports(node.now(), MAX_CRASH_REPORTS)
-        }
-    };
+    let accusations = crash::reports_to_send(node);
     let data_time = *node.platform_data_time.lock();
     let word_age_ms = data_time.map(|at| {
         let age = node.now().saturating_duration_since(at).as_millis();
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -35,6 +35,16 @@
     pub invalid_values: IntCounter,
     /// Calls to peers by result.
     pub peer_calls: IntCounterVec,
+    /// Attempts that ended as if their upstream had crashed, by end.
+    pub crash_losses: IntCounterVec,
+    /// Checks whether an upstream has crashed, by result.
+    pub crash_checks: IntCounterVec,
+    /// New crash reports, by origin.
+    pub crash_reports: IntCounterVec,
+    /// Crash reports that were dropped, by cause.
+    pub crash_reports_dropped: IntCounterVec,
+    /// Requests put into the crash quarantine.
+    pub crash_quarantined: IntCounter,
     /// Detected suspensions of the process.
     pub suspensions: IntCounter,
     /// Requests in flight.
@@ -97,6 +107,23 @@
                 register(&r, IntCounter::new("balsamgate_platform_unusable_total", help))
             },
             peer_calls: counters(&r, "peer_calls_total", "Calls to peers", &["result"]),
+            crash_losses: {
+                let help = "Attempts that ended as if the upstream had crashed";
+                counters(&r, "crash_losses_total", help, &["end"])
+            },
+            crash_checks: {
+                let help = "Checks whether an upstream has crashed";
+                counters(&r, "crash_checks_total", help, &["result"])
+            },
+            crash_reports: counters(&r, "crash_reports_total", "New crash reports", &["origin"]),
+            crash_reports_dropped: {
+                let help = "Crash reports that were dropped";
+                counters(&r, "crash_reports_dropped_total", help, &["cause"])
+            },
+            crash_quarantined: {
+                let help = "Requests put into the crash quarantine";
+                register(&r, IntCounter::new("balsamgate_crash_quarantined_total", help))
+            },
             suspensions: {
                 let help = "Times that the process was suspended";
                 register(&r, IntCounter::new("balsamgate_suspensions_total", help))
--- a/crates/relay/src/request_log.rs
+++ b/crates/relay/src/request_log.rs
@@ -271,7 +271,7 @@
 }
 
 /// Returns the value of the metric label `end` and the log fields `end` and `ended`.
-fn end_name(end: AttemptEnd) -> &'static str {
+pub(crate) fn end_name(end: AttemptEnd) -> &'static str {
     match end {
         AttemptEnd::Reply { success: true } => "reply",
         AttemptEnd::Reply { success: false } => "failure",
