A request is suspected of a crash although nobody waits for its reply any more

Callers saw: upstreams that kept ending under a request that should have been refused, on searches and where callers leave early. Cause: only an attempt whose end the request itself recorded was checked. The ends of attempts left over after an answer were dropped, and a caller that left took its attempts along; an upstream that crashed after that was put down to nobody. Goals of searches (60 to 150 ms) are shorter than a wait in an upstream's queue. Change: the end of an attempt is recorded where the attempt runs, also when it is dropped. Its request stays a suspect for 3 s; the end of any other connection to that upstream, or one that it does not accept, has the upstream checked; a reply later than 1 s after the attempt clears an abandoned one. No request is held for it. A reply that breaks off is a loss as well.

--- /dev/null
+++ b/crates/balsamgate/tests/crash.rs
@@ -0,0 +1,216 @@
+//! End-to-end tests of requests that crash the upstreams that run them: nodes run as processes,
+//! and such a request comes again at any node.
+
+mod fleet;
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use fleet::{Fleet, HOST, config, upstreams};
+use platform_standin::{
+    caller::{CONFIG_KEY, CallerRequest, Connection},
+    store::Store,
+    upstream::{Faults, Run, Upstream},
+};
+use tokio_util::sync::CancellationToken;
+
+/// Pools of the search route.
+const POOLS: usize = 5;
+/// Upstreams of each pool: more than the request may crash.
+const UPSTREAMS: usize = 12;
+const NODES: usize = 2;
+/// Crash from which on the time to refuse the request everywhere runs.
+const LAST_FREE_CRASH: usize = 3;
+/// Time from that crash until every node must refuse the request.
+const CONTACT: Duration = Duration::from_secs(4);
+/// Retries later than that which may still reach upstreams.
+const MAX_LATE_RETRIES: usize = 3;
+
+/// What happens to the address of an upstream that has crashed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum After {
+    /// Nothing listens there.
+    Gone,
+    /// Another process of the pool is there at once.
+    Replaced,
+}
+
+/// How the request crashes upstreams, and how it comes.
+#[derive(Debug, Clone, Copy)]
+struct Case {
+    path: &'static str,
+    /// Time from the start of a run to the crash.
+    crash_delay: Duration,
+    /// Time after which the caller closes its connection; `None` if it waits for the answer.
+    leaves_after: Option<Duration>,
+    after: After,
+}
+
+const CASE: Case = Case {
+    path: "/search/crash",
+    crash_delay: Duration::ZERO,
+    leaves_after: None,
+    after: After::Gone,
+};
+
+struct Testbed {
+    store: Store,
+    upstreams: Vec<Upstream>,
+    fleet: Fleet,
+    cancel: CancellationToken,
+}
+
+impl Drop for Testbed {
+    fn drop(&mut self) {
+        self.cancel.cancel();
+    }
+}
+
+impl Testbed {
+    async fn start(case: Case) -> Testbed {
+        let cancel = CancellationToken::new();
+        let store = Store::start(cancel.clone()).await.expect("a store");
+        store.put(CONFIG_KEY, config(1, POOLS).to_json().as_bytes());
+        let upstreams = upstreams(&store, POOLS, UPSTREAMS).await;
+        let fleet = Fleet::start(NODES as u8, store.address());
+        fleet.ready().await;
+        let testbed = Testbed { store, upstreams, fleet, cancel };
+        testbed.upstreams.iter().for_each(|u| u.set_faults(faults(case)));
+        testbed
+    }
+
+    /// Sends the request once to `node`.
+    async fn arrive(&self, node: usize, case: Case, id: &str) {
+        let once = case.path.starts_with("/once/");
+        let request = CallerRequest {
+            host: HOST.to_owned(),
+            path: case.path.to_owned(),
+            id: id.to_owned(),
+            timeout: Duration::from_millis(1_500),
+            body: if once { Bytes::from("x") } else { Bytes::new() },
+        };
+        let Ok(mut connection) = Connection::connect(self.fleet.nodes[node].callers()).await else {
+            return;
+        };
+        let limit = case.leaves_after.unwrap_or(request.timeout);
+        // What the caller gets does not matter here.
+        let _ = tokio::time::timeout(limit, connection.send(&request)).await;
+    }
+
+    /// Starts another process at the address of each upstream that has crashed.
+    async fn replace_crashed(&mut self, case: Case, number: &mut usize) {
+        for n in 0..self.upstreams.len() {
+            let old = self.upstreams[n].clone();
+            let replaced = self.upstreams.iter().any(|u| {
+                u.address() == old.address()
+                    && u.instance() != old.instance()
+                    && u.crashed_at() >= old.crashed_at()
+            });
+            if old.crashed_at().is_none() || replaced {
+                continue;
+            }
+            *number += 1;
+            let spec =
+                fleet::Spec { address: old.address(), ..fleet::spec(old.pool(), 1_000 + *number) };
+            if let Ok(new) = Upstream::start(spec, &self.store).await {
+                new.set_faults(faults(case));
+                self.upstreams.push(new);
+            }
+        }
+    }
+
+    fn runs(&self) -> Vec<Run> {
+        self.upstreams.iter().flat_map(Upstream::runs).collect()
+    }
+
+    /// Times of the crashes, the first one first.
+    fn crashes(&self) -> Vec<Instant> {
+        let mut crashes: Vec<Instant> =
+            self.upstreams.iter().filter_map(Upstream::crashed_at).collect();
+        crashes.sort_unstable();
+        crashes
+    }
+}
+
+fn faults(case: Case) -> Faults {
+    let path = case.path.to_owned();
+    Faults { crashes_on_path: Some(path), crash_delay: case.crash_delay, ..Faults::default() }
+}
+
+/// Sends the request to the nodes in turn: until it has crashed three upstreams or seems to be
+/// refused, and again once the time to refuse it is over. Checks the retries that then reach
+/// upstreams.
+async fn check(case: Case) {
+    let mut testbed = Testbed::start(case).await;
+    let mut ids = Vec::new();
+    let mut replaced = 0;
+    let mut arrival = 0;
+    let mut early = 0;
+    while early < 12 && testbed.crashes().len() < LAST_FREE_CRASH {
+        early += 1;
+        ids.push(format!("early-{arrival}"));
+        testbed.arrive(arrival % NODES, case, &format!("early-{arrival}")).await;
+        arrival += 1;
+        let pause = Duration::from_millis(400);
+        let step = Duration::from_millis(10);
+        let start = Instant::now();
+        while start.elapsed() < pause {
+            if case.after == After::Replaced {
+                testbed.replace_crashed(case, &mut replaced).await;
+            }
+            tokio::time::sleep(step).await;
+        }
+    }
+    let crashes = testbed.crashes();
+    let last = crashes.iter().take(LAST_FREE_CRASH).next_back().expect("an upstream crashes");
+    tokio::time::sleep_until((*last + CONTACT).into()).await;
+    let mut late = Vec::new();
+    for _ in 0..4 * NODES {
+        let id = format!("late-{arrival}");
+        testbed.arrive(arrival % NODES, case, &id).await;
+        arrival += 1;
+        // Long enough for the crash and its report.
+        tokio::time::sleep(case.crash_delay + Duration::from_millis(150)).await;
+        late.push(id);
+    }
+    let runs = testbed.runs();
+    let sends = |id: &String| runs.iter().filter(|r| r.request_id == *id).count();
+    let before: Vec<usize> = ids.iter().map(sends).collect();
+    let after: Vec<usize> = late.iter().map(sends).collect();
+    let crashed = testbed.upstreams.iter().filter(|u| u.crashed_at().is_some()).count();
+    eprintln!("{case:?}: sends {before:?}, late {after:?}, {crashed} upstreams crashed");
+    let late_retries = after.iter().filter(|n| **n > 0).count();
+    assert!(
+        late_retries <= MAX_LATE_RETRIES,
+        "{case:?}: sends {before:?}, late {after:?}, {crashed} upstreams crashed; logs in {}",
+        testbed.fleet.directory().display()
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_search_that_crashes_upstreams_at_once_is_refused() {
+    check(CASE).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_search_whose_crashes_come_after_the_answer_is_refused() {
+    check(Case { crash_delay: Duration::from_millis(600), ..CASE }).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_search_whose_caller_leaves_before_the_crashes_is_refused() {
+    let leaves_after = Some(Duration::from_millis(100));
+    check(Case { crash_delay: Duration::from_millis(200), leaves_after, ..CASE }).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_caller_leaves_before_the_crash_is_refused() {
+    let leaves_after = Some(Duration::from_millis(100));
+    let path = "/once/crash";
+    check(Case { path, crash_delay: Duration::from_millis(200), leaves_after, ..CASE }).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_is_refused_although_its_upstreams_return_at_once() {
+    check(Case { path: "/once/crash", after: After::Replaced, ..CASE }).await;
+}
--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -6,6 +6,7 @@
 
 pub mod admission;
 pub mod crash_quarantine;
+pub mod crash_suspects;
 pub mod merge;
 pub mod node_selection;
 pub mod pool;
--- /dev/null
+++ b/crates/policy/src/relay/crash_suspects.rs
@@ -0,0 +1,174 @@
+//! Requests that may have crashed one upstream.
+//!
+//! A node sees a crash only as connections that end, and not always on the connection of the
+//! request: the caller may have left, or the answer may have been sent without the upstream's
+//! reply. A request therefore stays suspected for a while after its attempt, until the upstream
+//! turns out to live or to have crashed.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use smol_str::SmolStr;
+
+/// Delay between the loss of a connection and the check whether the upstream accepts a new one:
+/// a crash takes only a moment, but a restart takes longer.
+pub const CHECK_DELAY: Duration = Duration::from_millis(50);
+/// Time for which an upstream may go on with a request after its connection was closed.
+pub const ABANDONED_RUN: Duration = Duration::from_secs(1);
+/// Time for which a request is suspected. With the check and the reports that follow, less than
+/// the 4 s within which a deployment expects a request that crashes upstreams to be refused.
+pub const SUSPICION: Duration = Duration::from_secs(3);
+/// Maximum number of requests suspected at one upstream; the oldest is dropped first. No upstream
+/// runs more at a time.
+pub const MAX_SUSPECTS: usize = 64;
+
+/// How the attempt of a suspected request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Exposure {
+    /// The upstream ended the connection.
+    Lost,
+    /// This node closed the connection; the upstream may still run the request.
+    Abandoned,
+}
+
+/// How an upstream turned out to have crashed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Proof {
+    /// It accepts no new connection.
+    Unreachable,
+    /// Another process has taken its place, at its address or under its id.
+    Replaced,
+}
+
+/// A request that an upstream was running.
+#[derive(Debug, Clone)]
+pub struct Suspect {
+    /// The caller's request id, for logs.
+    pub request_id: SmolStr,
+    /// Hash of the request's host, method, path and body.
+    pub fingerprint: u64,
+    /// Random id of the arrival.
+    pub arrival: u32,
+    /// Whether an upstream has replied to the arrival.
+    pub replied: Arc<AtomicBool>,
+}
+
+impl Suspect {
+    /// Returns whether an upstream has replied to the arrival.
+    pub fn has_reply(&self) -> bool {
+        self.replied.load(Ordering::Relaxed)
+    }
+}
+
+#[derive(Debug)]
+struct Entry {
+    suspect: Suspect,
+    exposure: Exposure,
+    since: Instant,
+    /// When to check the upstream; `None` once that has been done.
+    check_at: Option<Instant>,
+    /// Whether there has been a sign of a crash since.
+    sign: bool,
+}
+
+/// Suspected requests of one upstream.
+#[derive(Debug, Default)]
+pub struct CrashSuspects {
+    entries: Vec<Entry>,
+    /// When the upstream was last seen alive.
+    alive_at: Option<Instant>,
+}
+
+impl CrashSuspects {
+    /// Creates a list without suspects.
+    pub fn new() -> CrashSuspects {
+        CrashSuspects::default()
+    }
+
+    /// Returns whether there are no suspects.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Returns the number of suspects.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Adds a suspect. `connected` is whether this node has another connection to the upstream,
+    /// whose end would show a crash. Returns the suspect that was dropped to make room.
+    pub fn add(
+        &mut self,
+        now: Instant,
+        suspect: Suspect,
+        exposure: Exposure,
+        connected: bool,
+    ) -> Option<Suspect> {
+        self.expire(now);
+        let full = self.entries.len() >= MAX_SUSPECTS;
+        let dropped = full.then(|| self.entries.remove(0).suspect);
+        let delay = match exposure {
+            Exposure::Abandoned if connected => ABANDONED_RUN,
+            _ => CHECK_DELAY,
+        };
+        let check_at = Some(now + delay);
+        self.entries.push(Entry { suspect, exposure, since: now, check_at, sign: false });
+        dropped
+    }
+
+    /// Returns when the upstream is to be checked; `None` if no check is needed.
+    pub fn next_check(&self) -> Option<Instant> {
+        self.entries.iter().filter_map(|e| e.check_at).min()
+    }
+
+    /// Records that the upstream replied or accepted a connection. Requests that it must have
+    /// finished by then are no longer suspected.
+    pub fn record_alive(&mut self, now: Instant) {
+        self.alive_at = Some(now);
+        self.entries.retain(|e| {
+            e.exposure == Exposure::Lost || now.saturating_duration_since(e.since) < ABANDONED_RUN
+        });
+        for entry in &mut self.entries {
+            // Unless a connection ends, an upstream that replies has not crashed. The check after
+            // a loss stays: the reply may have been sent before it.
+            let settled = entry.exposure == Exposure::Abandoned && !entry.sign;
+            entry.check_at = entry.check_at.filter(|at| *at > now && !settled);
+        }
+    }
+
+    /// Records a sign that the upstream may have crashed: it ended a connection, or did not accept
+    /// one. It is then checked again.
+    pub fn record_sign(&mut self, now: Instant) {
+        self.expire(now);
+        let check_at = now + CHECK_DELAY;
+        for entry in &mut self.entries {
+            entry.check_at = Some(entry.check_at.map_or(check_at, |at| at.min(check_at)));
+            entry.sign = true;
+        }
+    }
+
+    /// Removes all suspects of an upstream that has crashed, and returns those that may have been
+    /// running when it did.
+    pub fn take(&mut self, now: Instant, proof: Proof) -> Vec<Suspect> {
+        self.expire(now);
+        let alive_at = self.alive_at.filter(|_| proof == Proof::Unreachable);
+        let ran = |e: &Entry| {
+            let run = match e.exposure {
+                Exposure::Lost => CHECK_DELAY,
+                Exposure::Abandoned => ABANDONED_RUN,
+            };
+            alive_at.is_none_or(|at| at < e.since + run)
+        };
+        self.entries.drain(..).filter(ran).map(|e| e.suspect).collect()
+    }
+
+    /// Removes those that have been suspected long enough.
+    pub fn expire(&mut self, now: Instant) {
+        self.entries.retain(|e| now.saturating_duration_since(e.since) < SUSPICION);
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/relay_crash_suspects.rs
@@ -0,0 +1,110 @@
+//! Suspects of a crash at one upstream.
+//!
+//! Guards against crashes that are not put down to the request that caused them, because nobody
+//! waited for its reply any more, and against blaming requests that the upstream has survived.
+
+use std::time::{Duration, Instant};
+
+use policy::relay::crash_suspects::{
+    ABANDONED_RUN, CHECK_DELAY, CrashSuspects, Exposure, MAX_SUSPECTS, Proof, SUSPICION, Suspect,
+};
+
+fn suspect(fingerprint: u64) -> Suspect {
+    Suspect { request_id: "r".into(), fingerprint, arrival: 1, replied: Default::default() }
+}
+
+/// What happens at the upstream, in milliseconds after the attempt of the suspect has ended.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Alive(u64),
+    Sign(u64),
+}
+
+/// Checks whether a request is blamed for a crash that is found `found` after its attempt.
+fn check(exposure: Exposure, steps: &[Step], found: Duration, proof: Proof, blamed: bool) {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let mut suspects = CrashSuspects::new();
+    suspects.add(start, suspect(7), exposure, true);
+    for step in steps {
+        match step {
+            Step::Alive(ms) => suspects.record_alive(at(*ms)),
+            Step::Sign(ms) => suspects.record_sign(at(*ms)),
+        }
+    }
+    let taken = suspects.take(start + found, proof);
+    let case = format!("{exposure:?} {steps:?} {found:?} {proof:?}");
+    assert_eq!(taken.iter().any(|s| s.fingerprint == 7), blamed, "{case}");
+    assert!(suspects.is_empty(), "{case}");
+}
+
+#[test]
+fn a_request_is_blamed_for_a_crash_while_it_may_have_run() {
+    use Exposure::{Abandoned, Lost};
+    use Proof::Unreachable;
+    let soon = CHECK_DELAY;
+    check(Lost, &[], soon, Unreachable, true);
+    check(Abandoned, &[], soon, Unreachable, true);
+    check(Abandoned, &[Step::Sign(300)], Duration::from_millis(350), Unreachable, true);
+    // The upstream was silent until the crash was found.
+    check(Abandoned, &[], SUSPICION - CHECK_DELAY, Unreachable, true);
+    check(Lost, &[], SUSPICION, Unreachable, false);
+}
+
+#[test]
+fn a_request_that_the_upstream_has_survived_is_not_blamed() {
+    use Exposure::{Abandoned, Lost};
+    use Proof::{Replaced, Unreachable};
+    let late = Duration::from_millis(2_000);
+    check(Lost, &[Step::Alive(60)], late, Unreachable, false);
+    check(Abandoned, &[Step::Alive(1_100)], late, Unreachable, false);
+    // It may have run until just after the reply.
+    check(Abandoned, &[Step::Alive(300)], late, Unreachable, true);
+    // The process that was alive is the one that replaced it.
+    check(Lost, &[Step::Alive(60)], late, Replaced, true);
+}
+
+#[test]
+fn the_upstream_is_checked_after_a_loss_and_after_each_sign() {
+    let now = Instant::now();
+    let mut suspects = CrashSuspects::new();
+    assert_eq!(suspects.next_check(), None);
+    suspects.add(now, suspect(1), Exposure::Lost, true);
+    assert_eq!(suspects.next_check(), Some(now + CHECK_DELAY));
+    // A reply that arrives before may have been sent before the loss.
+    suspects.record_alive(now + CHECK_DELAY / 2);
+    assert_eq!(suspects.next_check(), Some(now + CHECK_DELAY));
+    suspects.record_alive(now + CHECK_DELAY);
+    assert_eq!(suspects.next_check(), None);
+    let later = now + Duration::from_millis(400);
+    suspects.record_sign(later);
+    assert_eq!(suspects.next_check(), Some(later + CHECK_DELAY));
+}
+
+#[test]
+fn an_abandoned_request_costs_no_connection_while_another_one_is_open() {
+    let now = Instant::now();
+    let next_check = |connected: bool, alive: bool| {
+        let mut suspects = CrashSuspects::new();
+        suspects.add(now, suspect(1), Exposure::Abandoned, connected);
+        if alive {
+            suspects.record_alive(now + Duration::from_millis(1));
+        }
+        suspects.next_check()
+    };
+    assert_eq!(next_check(false, false), Some(now + CHECK_DELAY));
+    assert_eq!(next_check(true, false), Some(now + ABANDONED_RUN));
+    assert_eq!(next_check(true, true), None);
+}
+
+#[test]
+fn suspects_are_bounded_and_the_oldest_is_dropped() {
+    let now = Instant::now();
+    let mut suspects = CrashSuspects::new();
+    for n in 0..MAX_SUSPECTS as u64 {
+        assert!(suspects.add(now, suspect(n), Exposure::Lost, true).is_none());
+    }
+    let dropped = suspects.add(now, suspect(1_000), Exposure::Lost, true);
+    assert_eq!(dropped.map(|s| s.fingerprint), Some(0));
+    assert_eq!(suspects.len(), MAX_SUSPECTS);
+}
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -5,9 +5,10 @@
 
 use std::{
     collections::VecDeque,
-    io,
-    net::SocketAddr,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -21,13 +22,14 @@
 };
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
-use policy::relay::{crash_quarantine::CrashReport, pool::UpstreamHandle, upstream::AttemptEnd};
+use policy::relay::{
+    crash_suspects::Suspect, pool::UpstreamHandle, registry::Entry, upstream::AttemptEnd,
+};
 use tokio::sync::Notify;
 
 use crate::{
-    crash,
-    interface::{Codec, ReplyKind, ReplyMetadata},
-    log_limiter::LogKind,
+    crash_watch::{CrashWatch, RunGuard},
+    interface::{ReplyKind, ReplyMetadata},
     memory::Reservation,
     node::Node,
     socket,
@@ -49,17 +51,25 @@
 /// a new one: the upstream may have dropped an older one without notice.
 const MAX_IDLE_FOR_AT_MOST_ONCE: Duration = Duration::from_millis(400);
 
-/// Delay between the loss of a connection and the check whether the upstream accepts a new one:
-/// a crash takes only a moment, but a restart takes longer.
-const CRASH_CHECK_DELAY: Duration = Duration::from_millis(50);
-/// Maximum number of requests suspected of the same crash. No upstream runs more at a time.
-const MAX_SUSPECTS: usize = 64;
+/// A connection to an upstream; dropping it closes it.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    /// Whether this node closed it, rather than the upstream.
+    closed_here: Arc<AtomicBool>,
+}
 
-type Sender = SendRequest<Full<Bytes>>;
+impl Drop for Connection {
+    fn drop(&mut self) {
+        if !self.sender.is_closed() {
+            self.closed_here.store(true, Ordering::Relaxed);
+        }
+    }
+}
 
 #[derive(Debug)]
 struct IdleConnection {
-    sender: Sender,
+    connection: Connection,
     since: Instant,
     expires_at: Instant,
 }
@@ -70,15 +80,13 @@
     state: Mutex<State>,
     /// Signals that a connection has become idle or was closed.
     released: Notify,
+    pub(crate) crash_watch: CrashWatch,
 }
 
 #[derive(Debug, Default)]
 struct State {
     idle: VecDeque<IdleConnection>,
     open: usize,
-    /// Reports on the requests that were running when a connection was lost. They are pending
-    /// until the crash check completes.
-    suspects: Vec<CrashReport>,
 }
 
 /// Connections to all upstreams.
@@ -113,7 +121,7 @@
     pub fn close_expired(&self, now: Instant) {
         for connections in self.upstreams.lock().values() {
             let idle = &mut connections.state.lock().idle;
-            idle.retain(|c| c.expires_at > now && !c.sender.is_closed());
+            idle.retain(|c| c.expires_at > now && !c.connection.sender.is_closed());
         }
     }
 
@@ -191,78 +199,89 @@
     pub request: Request<Full<Bytes>>,
     /// The caller's request id.
     pub request_id: http::HeaderValue,
-    /// The process that may run the request.
-    pub instance: base::id::Instance,
     /// Time from which on the message must not be sent.
     pub deadline: Instant,
     /// Whether the request may run more than once.
     pub repeatable: bool,
+    /// Identifies the request if the upstream crashes while it runs.
+    pub suspect: Suspect,
 }
 
 impl UpstreamConnections {
-    /// Sends `message` once, on one of up to `max_connections` connections to `address`.
-    /// Dropping the future closes the connection in use.
+    /// Sends `message` once, on one of up to `max_connections` connections to the upstream that
+    /// `entry` registers. Dropping the future closes the connection in use.
     pub async fn send(
         self: Arc<UpstreamConnections>,
         node: Arc<Node>,
-        address: SocketAddr,
+        entry: Arc<Entry>,
         max_connections: usize,
         message: AttemptRequest,
     ) -> AttemptResult {
         let left = message.deadline.saturating_duration_since(node.now());
-        let acquired = self.acquire(&node, address, max_connections, message.repeatable);
-        let mut sender = match tokio::time::timeout(left, acquired).await {
-            Ok(Ok(sender)) => sender,
-            Ok(Err(e)) => return AttemptResult::failed(AttemptEnd::NotSent, error_chain(&e)),
+        let acquired = self.acquire(&node, &entry, max_connections, message.repeatable);
+        let mut connection = match tokio::time::timeout(left, acquired).await {
+            Ok(Ok(connection)) => connection,
+            Ok(Err(e)) => {
+                self.crash_watch.record_sign(&node, &self, &entry);
+                return AttemptResult::failed(AttemptEnd::NotSent, error_chain(&e));
+            }
             Err(_) => return AttemptResult::failed(AttemptEnd::NotSent, "no connection in time"),
         };
         let now = node.now();
         // Checked again because the process may have been suspended since the decision to send.
         let left = message.deadline.saturating_duration_since(now);
         if left.is_zero() {
-            self.release(&node, sender, None);
+            self.release(&node, connection, None);
             return AttemptResult::failed(AttemptEnd::NotSent, "no time was left to send it");
         }
-        let AttemptRequest { mut request, request_id, instance, .. } = message;
-        node.codec.write_attempt(request.headers_mut(), &instance, left);
-        let response = match sender.try_send_request(request).await {
+        let AttemptRequest { mut request, request_id, suspect, .. } = message;
+        node.codec.write_attempt(request.headers_mut(), &entry.instance, left);
+        let run = RunGuard::new(node.clone(), self.clone(), entry, suspect);
+        let response = match connection.sender.try_send_request(request).await {
             Ok(response) => response,
             // hyper returns the message only if it has written nothing of it.
             Err(mut e) => {
                 let unsent = e.take_message().is_some();
                 let end = if unsent { AttemptEnd::NotSent } else { AttemptEnd::ConnectionLost };
+                run.ended(end);
                 return AttemptResult::failed(end, error_chain(e.error()));
             }
         };
-        self.receive(&node, node.codec.as_ref(), sender, &request_id, response).await
+        self.receive(&node, connection, &request_id, response, run).await
     }
 
     async fn receive(
         &self,
         node: &Node,
-        codec: &dyn Codec,
-        mut sender: Sender,
+        mut connection: Connection,
         request_id: &http::HeaderValue,
         response: Response<Incoming>,
+        run: RunGuard,
     ) -> AttemptResult {
         let (head, body) = response.into_parts();
-        let metadata = codec.read_reply(request_id, &head);
+        let metadata = node.codec.read_reply(request_id, &head);
         if metadata.id_mismatch {
             // Replies on this connection no longer match their requests, so it is not reused.
             return AttemptResult::failed(AttemptEnd::BadReply, "the reply names another request");
         }
         let (body, reservation) = match read_body(node, body).await {
             Ok(read) => read,
-            Err(e) => return AttemptResult::failed(AttemptEnd::BadReply, error_chain(&e)),
+            Err(e) => {
+                if matches!(e, BodyError::Truncated(_)) {
+                    run.ended(AttemptEnd::BadReply);
+                }
+                return AttemptResult::failed(AttemptEnd::BadReply, error_chain(&e));
+            }
         };
-        if sender.ready().await.is_ok() {
-            self.release(node, sender, metadata.idle_timeout);
-        }
         let end = match metadata.kind {
             ReplyKind::Ran => AttemptEnd::Reply { success: head.status.is_success() },
             ReplyKind::Refused => AttemptEnd::Refused,
             ReplyKind::InstanceReplaced => AttemptEnd::InstanceReplaced,
         };
+        run.ended(end);
+        if connection.sender.ready().await.is_ok() {
+            self.release(node, connection, metadata.idle_timeout);
+        }
         let response = Response::from_parts(head, body);
         let reply = ReceivedReply { metadata, response, _reservation: reservation };
         AttemptResult { end, reply: Some(reply), cause: None }
@@ -272,86 +291,54 @@
     /// possible.
     async fn acquire(
         self: &Arc<UpstreamConnections>,
-        node: &Node,
-        address: SocketAddr,
+        node: &Arc<Node>,
+        entry: &Arc<Entry>,
         max_connections: usize,
         repeatable: bool,
-    ) -> Result<Sender, ConnectError> {
+    ) -> Result<Connection, ConnectError> {
         loop {
             let released = self.released.notified();
-            while let Some(mut sender) = self.pop_idle(node.now(), repeatable) {
-                if sender.ready().await.is_ok() {
-                    return Ok(sender);
+            while let Some(mut connection) = self.pop_idle(node.now(), repeatable) {
+                if connection.sender.ready().await.is_ok() {
+                    return Ok(connection);
                 }
             }
             if let Some(permit) = self.try_permit(max_connections) {
-                return connect(address, permit).await;
+                return connect(node.clone(), entry.clone(), permit).await;
             }
             released.await;
         }
     }
 
-    /// Checks whether the upstream at `address` has crashed, after it lost a connection on which
-    /// the request of `report` was running. Returns the reports to publish: none if the upstream
-    /// accepts a new connection, or if another call is already checking.
-    pub async fn detect_crash(
-        self: Arc<UpstreamConnections>,
-        node: Arc<Node>,
-        address: SocketAddr,
-        report: CrashReport,
-    ) -> Vec<CrashReport> {
-        {
-            let suspects = &mut self.state.lock().suspects;
-            if suspects.len() >= MAX_SUSPECTS {
-                crash::dropped(&node, Some(report.fingerprint), 1, crash::Drop::SuspectsFull);
-                return Vec::new();
-            }
-            suspects.push(report);
-            if suspects.len() > 1 {
-                return Vec::new();
-            }
-        }
-        tokio::time::sleep(CRASH_CHECK_DELAY).await;
-        let connected = match self.try_permit(usize::MAX) {
-            Some(permit) => connect(address, permit).await,
-            None => return Vec::new(),
-        };
-        let suspects = std::mem::take(&mut self.state.lock().suspects);
-        match connected {
-            Ok(sender) => {
-                crash::checked(&node, address, &suspects, "accepted", None);
-                self.release(&node, sender, None);
-                Vec::new()
-            }
-            Err(e) => {
-                let silent =
-                    matches!(&e, ConnectError::Socket(e) if e.kind() == io::ErrorKind::TimedOut);
-                let result = if silent { "silent" } else { "refused" };
-                crash::checked(&node, address, &suspects, result, Some(&e.to_string()));
-                if node.log_limiter.allows(node.now(), LogKind::RoutingState) {
-                    let requests = suspects.len();
-                    tracing::warn!(
-                        %address, requests, cause = %e,
-                        "upstream accepts no new connection; assuming that it crashed"
-                    );
-                }
-                suspects
-            }
-        }
+    /// Returns whether the upstream accepts a new connection, which is kept as an idle one.
+    pub(crate) async fn accepts_connection(
+        self: &Arc<UpstreamConnections>,
+        node: &Arc<Node>,
+        entry: &Arc<Entry>,
+    ) -> Result<(), ConnectError> {
+        let permit = self.open_connection();
+        let connection = connect(node.clone(), entry.clone(), permit).await?;
+        self.release(node, connection, None);
+        Ok(())
+    }
+
+    /// Returns the number of open connections, including those being established.
+    pub(crate) fn open(&self) -> usize {
+        self.state.lock().open
     }
 
     /// Takes an idle connection that is usable for a request, which is `repeatable` or not.
-    fn pop_idle(&self, now: Instant, repeatable: bool) -> Option<Sender> {
+    fn pop_idle(&self, now: Instant, repeatable: bool) -> Option<Connection> {
         let mut state = self.state.lock();
         loop {
             // The most recently used one, so that surplus connections expire.
             let idle = state.idle.pop_back()?;
-            if idle.expires_at <= now || idle.sender.is_closed() {
+            if idle.expires_at <= now || idle.connection.sender.is_closed() {
                 continue;
             }
             let idle_time = now.saturating_duration_since(idle.since);
             let usable = repeatable || idle_time < MAX_IDLE_FOR_AT_MOST_ONCE;
-            return usable.then_some(idle.sender);
+            return usable.then_some(idle.connection);
         }
     }
 
@@ -367,13 +354,19 @@
         Some(ConnectionPermit(self.clone()))
     }
 
+    /// Counts a connection that is opened whatever the limit.
+    fn open_connection(self: &Arc<UpstreamConnections>) -> ConnectionPermit {
+        self.state.lock().open += 1;
+        ConnectionPermit(self.clone())
+    }
+
     /// Returns a connection to the pool. `idle_timeout` is the upstream's, if it stated one.
-    fn release(&self, node: &Node, sender: Sender, idle_timeout: Option<Duration>) {
+    fn release(&self, node: &Node, connection: Connection, idle_timeout: Option<Duration>) {
         let now = node.now();
         let timeout = idle_timeout.map_or(DEFAULT_IDLE_TIMEOUT, |t| t.mul_f64(IDLE_TIMEOUT_SHARE));
         let timeout =
             if node.is_preferred() { timeout } else { timeout.min(UNPREFERRED_IDLE_TIMEOUT) };
-        let idle = IdleConnection { sender, since: now, expires_at: now + timeout };
+        let idle = IdleConnection { connection, since: now, expires_at: now + timeout };
         self.state.lock().idle.push_back(idle);
         self.released.notify_one();
     }
@@ -381,22 +374,32 @@
 
 /// A failure to connect to an upstream.
 #[derive(Debug, thiserror::Error)]
-enum ConnectError {
+pub(crate) enum ConnectError {
     #[error("no connection: {0}")]
     Socket(#[from] std::io::Error),
     #[error("no connection: {0}")]
     Http(#[from] hyper::Error),
 }
 
-async fn connect(address: SocketAddr, permit: ConnectionPermit) -> Result<Sender, ConnectError> {
-    let stream = socket::connect(address, CONNECT_TIMEOUT).await?;
+async fn connect(
+    node: Arc<Node>,
+    entry: Arc<Entry>,
+    permit: ConnectionPermit,
+) -> Result<Connection, ConnectError> {
+    let stream = socket::connect(entry.address.0, CONNECT_TIMEOUT).await?;
     let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let closed_here = Arc::new(AtomicBool::new(false));
+    let connections = permit.0.clone();
+    let is_closed_here = closed_here.clone();
     tokio::spawn(async move {
         // An error also reaches the request that uses the connection.
         let _ = connection.await;
         drop(permit);
+        if !is_closed_here.load(Ordering::Relaxed) {
+            connections.crash_watch.record_sign(&node, &connections, &entry);
+        }
     });
-    Ok(sender)
+    Ok(Connection { sender, closed_here })
 }
 
 /// Reads the body of a reply. It counts against the node's memory budget until the reservation is
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -4,19 +4,24 @@
 //! fingerprint and arrival, and a metric. The decisions are in
 //! [`policy::relay::crash_quarantine`].
 
-use std::{net::SocketAddr, time::Instant};
+use std::time::Instant;
 
 use base::id;
 use policy::{
     membership::MAX_CRASH_REPORTS,
-    relay::crash_quarantine::{Change, CrashReport, Recorded},
+    relay::{
+        crash_quarantine::{self, Change, CrashReport, Recorded},
+        crash_suspects::Suspect,
+        registry::Entry,
+        upstream::AttemptEnd,
+    },
 };
 
-use crate::{log_limiter::LogKind, membership, node::Node};
+use crate::{log_limiter::LogKind, membership, node::Node, request_log};
 
 /// Why a report was dropped.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Drop {
+pub(crate) enum DropCause {
     /// Too many requests are suspected of the same crash.
     SuspectsFull,
     /// The table of reports was full, and this one was the least important.
@@ -29,15 +34,15 @@
     Cleared,
 }
 
-impl Drop {
+impl DropCause {
     /// Value of the metric label and the log field `cause`.
     fn name(self) -> &'static str {
         match self {
-            Drop::SuspectsFull => "suspects_full",
-            Drop::TableFull => "table_full",
-            Drop::MessageFull => "message_full",
-            Drop::Expired => "expired",
-            Drop::Cleared => "cleared",
+            DropCause::SuspectsFull => "suspects_full",
+            DropCause::TableFull => "table_full",
+            DropCause::MessageFull => "message_full",
+            DropCause::Expired => "expired",
+            DropCause::Cleared => "cleared",
         }
     }
 }
@@ -51,40 +56,64 @@
     format!("{arrival:08x}")
 }
 
-/// Records that a connection was lost while `report`'s request ran on the upstream at `address`.
-pub(crate) fn lost(
-    node: &Node,
-    request: &str,
-    report: CrashReport,
-    address: SocketAddr,
-    end: &str,
-) {
+/// Records that an attempt of `suspect` ended by `end`, without a reply from the upstream that
+/// `entry` registers.
+pub(crate) fn lost(node: &Node, entry: &Entry, suspect: &Suspect, end: AttemptEnd) {
+    let end = request_log::end_name(end);
     node.metrics.crash_losses.with_label_values(&[end]).inc();
     if node.log_limiter.allows(node.now(), LogKind::Crash) {
-        let fingerprint = format_fingerprint(report.fingerprint);
-        let arrival = format_arrival(report.arrival);
+        let Suspect { request_id, fingerprint, arrival, .. } = suspect;
+        let fingerprint = format_fingerprint(*fingerprint);
+        let arrival = format_arrival(*arrival);
         tracing::info!(
-            request, fingerprint, arrival, upstream = %address, end,
-            "attempt lost; checking whether the upstream crashed"
+            request = %request_id, fingerprint, arrival, upstream = %entry.instance, end,
+            "attempt lost; the upstream may have crashed"
         );
     }
 }
 
-/// Records the `result` of a check whether the upstream at `address` has crashed, of which
-/// `suspects` are suspected.
+/// Records the `result` of a check whether an upstream with `suspects` suspected requests has
+/// crashed.
 pub(crate) fn checked(
     node: &Node,
-    address: SocketAddr,
-    suspects: &[CrashReport],
+    entry: &Entry,
+    suspects: usize,
     result: &'static str,
     cause: Option<&str>,
 ) {
     node.metrics.crash_checks.with_label_values(&[result]).inc();
-    if node.log_limiter.allows(node.now(), LogKind::Crash) {
-        let requests = suspects.len();
-        let fingerprints = format_fingerprints(suspects);
-        tracing::info!(%address, result, requests, fingerprints, cause, "crash check");
+    let now = node.now();
+    let (upstream, address) = (&entry.instance, entry.address);
+    if node.log_limiter.allows(now, LogKind::Crash) {
+        tracing::info!(%upstream, %address, result, suspects, cause, "crash check");
     }
+    if let Some(cause) = cause.filter(|_| node.log_limiter.allows(now, LogKind::Crash)) {
+        tracing::warn!(
+            %address, requests = suspects, cause,
+            "upstream accepts no new connection; assuming that it crashed"
+        );
+    }
+}
+
+/// Records that an upstream crashed, perhaps by one of `suspects`, and reports those.
+pub(crate) fn upstream_crashed(node: &Node, entry: &Entry, suspects: &[Suspect]) {
+    for Suspect { request_id, fingerprint, arrival, .. } in suspects {
+        if node.log_limiter.allows(node.now(), LogKind::Crash) {
+            let fingerprint = format_fingerprint(*fingerprint);
+            let arrival = format_arrival(*arrival);
+            let upstream = entry.address;
+            tracing::warn!(
+                request = %request_id, fingerprint, arrival, %upstream,
+                "an upstream crashed while it ran this request"
+            );
+        }
+    }
+    let report = |s: &Suspect| CrashReport {
+        fingerprint: s.fingerprint,
+        arrival: s.arrival,
+        remaining_ms: crash_quarantine::REPORT_TTL.as_millis() as u32,
+    };
+    publish(node, &suspects.iter().map(report).collect::<Vec<_>>(), None);
 }
 
 /// Records `reports` and gossips those that are new. `from` is the peer that sent them, `None` if
@@ -99,7 +128,7 @@
     let mut any_new = false;
     for (report, Recorded { change, evicted }) in recorded {
         if let Some(evicted) = evicted {
-            dropped(node, Some(evicted), 1, Drop::TableFull);
+            dropped(node, Some(evicted), 1, DropCause::TableFull);
         }
         if change == Change::None {
             continue;
@@ -129,7 +158,7 @@
     if !any_new {
         return;
     }
-    if from.is_none() && node.log_limiter.allows(now, LogKind::RoutingState) {
+    if from.is_none() && node.log_limiter.allows(now, LogKind::Crash) {
         let fingerprints = format_fingerprints(reports);
         tracing::warn!(fingerprints, "requests accused of crashing an upstream");
     }
@@ -137,7 +166,7 @@
 }
 
 /// Records that `count` reports were dropped, those on `fingerprint` if they concern one request.
-pub(crate) fn dropped(node: &Node, fingerprint: Option<u64>, count: usize, cause: Drop) {
+pub(crate) fn dropped(node: &Node, fingerprint: Option<u64>, count: usize, cause: DropCause) {
     let cause = cause.name();
     node.metrics.crash_reports_dropped.with_label_values(&[cause]).inc_by(count as u64);
     if node.log_limiter.allows(node.now(), LogKind::Crash) {
@@ -153,7 +182,7 @@
         if quarantine.is_empty() { Vec::new() } else { quarantine.expire(now) }
     };
     for fingerprint in expired {
-        dropped(node, Some(fingerprint), 1, Drop::Expired);
+        dropped(node, Some(fingerprint), 1, DropCause::Expired);
     }
 }
 
@@ -168,7 +197,7 @@
         (quarantine.reports(now, MAX_CRASH_REPORTS), quarantine.len(now))
     };
     if known > reports.len() {
-        dropped(node, None, known - reports.len(), Drop::MessageFull);
+        dropped(node, None, known - reports.len(), DropCause::MessageFull);
     }
     reports
 }
--- /dev/null
+++ b/crates/relay/src/crash_watch.rs
@@ -0,0 +1,185 @@
+//! Watches an upstream that may have crashed while it ran a request.
+//!
+//! An attempt that ends without a reply makes its request a suspect, also if nobody waits for the
+//! reply any more. The decisions are in [`policy::relay::crash_suspects`].
+
+use std::{
+    io,
+    sync::{Arc, atomic::Ordering},
+};
+
+use parking_lot::Mutex;
+use policy::relay::{
+    crash_suspects::{CrashSuspects, Exposure, Proof, Suspect},
+    registry::Entry,
+    upstream::AttemptEnd,
+};
+use tokio::{runtime::Handle, sync::Notify};
+
+use crate::{
+    connection::{ConnectError, UpstreamConnections},
+    crash,
+    node::Node,
+};
+
+/// Suspects of one upstream.
+#[derive(Debug, Default)]
+pub(crate) struct CrashWatch {
+    state: Mutex<State>,
+    /// Signals that a check may be due earlier.
+    changed: Notify,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    suspects: CrashSuspects,
+    /// Whether a task checks the upstream.
+    watching: bool,
+}
+
+impl CrashWatch {
+    /// Records a sign that the upstream of `connections` may have crashed.
+    pub(crate) fn record_sign(
+        &self,
+        node: &Arc<Node>,
+        connections: &Arc<UpstreamConnections>,
+        entry: &Arc<Entry>,
+    ) {
+        {
+            let mut state = self.state.lock();
+            if state.suspects.is_empty() {
+                return;
+            }
+            state.suspects.record_sign(node.now());
+        }
+        self.start(node, connections, entry);
+    }
+
+    fn record_alive(&self, node: &Node) {
+        let mut state = self.state.lock();
+        if !state.suspects.is_empty() {
+            state.suspects.record_alive(node.now());
+        }
+    }
+
+    fn add(
+        &self,
+        node: &Arc<Node>,
+        connections: &Arc<UpstreamConnections>,
+        entry: &Arc<Entry>,
+        suspect: Suspect,
+        exposure: Exposure,
+    ) {
+        // The connection of the attempt itself still counts as open.
+        let connected = connections.open() > 1;
+        let dropped = self.state.lock().suspects.add(node.now(), suspect, exposure, connected);
+        if let Some(dropped) = dropped {
+            crash::dropped(node, Some(dropped.fingerprint), 1, crash::DropCause::SuspectsFull);
+        }
+        self.start(node, connections, entry);
+    }
+
+    /// Starts a task that checks the upstream, unless one is running.
+    fn start(&self, node: &Arc<Node>, connections: &Arc<UpstreamConnections>, entry: &Arc<Entry>) {
+        if std::mem::replace(&mut self.state.lock().watching, true) {
+            self.changed.notify_one();
+            return;
+        }
+        // Attempts are also dropped with the runtime, when nothing is left to check.
+        let Ok(runtime) = Handle::try_current() else { return };
+        runtime.spawn(watch(node.clone(), connections.clone(), entry.clone()));
+    }
+
+    /// Reports the suspects, as the upstream has crashed.
+    fn report(&self, node: &Node, entry: &Entry, proof: Proof) {
+        let suspects = self.state.lock().suspects.take(node.now(), proof);
+        crash::upstream_crashed(node, entry, &suspects);
+    }
+}
+
+/// Checks the upstream of `connections` as often as its suspects require.
+async fn watch(node: Arc<Node>, connections: Arc<UpstreamConnections>, entry: Arc<Entry>) {
+    let watch = &connections.crash_watch;
+    loop {
+        let now = node.now();
+        let next_check = {
+            let mut state = watch.state.lock();
+            state.suspects.expire(now);
+            let next_check = state.suspects.next_check();
+            state.watching = next_check.is_some();
+            next_check
+        };
+        let Some(next_check) = next_check else { return };
+        let wait = next_check.saturating_duration_since(now);
+        if !wait.is_zero() {
+            tokio::select! {
+                () = tokio::time::sleep(wait) => {}
+                () = watch.changed.notified() => {}
+            }
+            continue;
+        }
+        let suspects = watch.state.lock().suspects.len();
+        match connections.accepts_connection(&node, &entry).await {
+            Ok(()) => {
+                crash::checked(&node, &entry, suspects, "accepted", None);
+                watch.record_alive(&node);
+            }
+            Err(e) => {
+                let timed_out = |e: &io::Error| e.kind() == io::ErrorKind::TimedOut;
+                let silent = matches!(&e, ConnectError::Socket(e) if timed_out(e));
+                let result = if silent { "silent" } else { "refused" };
+                crash::checked(&node, &entry, suspects, result, Some(&e.to_string()));
+                watch.report(&node, &entry, Proof::Unreachable);
+            }
+        }
+    }
+}
+
+/// Makes a request that was sent to an upstream a suspect, unless the attempt ends with a reply.
+#[derive(Debug)]
+pub(crate) struct RunGuard {
+    node: Arc<Node>,
+    connections: Arc<UpstreamConnections>,
+    entry: Arc<Entry>,
+    /// `None` once the attempt has ended.
+    suspect: Option<Suspect>,
+}
+
+impl RunGuard {
+    pub(crate) fn new(
+        node: Arc<Node>,
+        connections: Arc<UpstreamConnections>,
+        entry: Arc<Entry>,
+        suspect: Suspect,
+    ) -> RunGuard {
+        RunGuard { node, connections, entry, suspect: Some(suspect) }
+    }
+
+    /// Records how the attempt ended.
+    pub(crate) fn ended(mut self, end: AttemptEnd) {
+        let Some(suspect) = self.suspect.take() else { return };
+        let RunGuard { node, connections, entry, .. } = &self;
+        match end {
+            AttemptEnd::Reply { .. } => {
+                suspect.replied.store(true, Ordering::Relaxed);
+                connections.crash_watch.record_alive(node);
+            }
+            AttemptEnd::Refused => connections.crash_watch.record_alive(node),
+            AttemptEnd::NotSent | AttemptEnd::InstanceReplaced => {}
+            AttemptEnd::ConnectionLost | AttemptEnd::BadReply | AttemptEnd::NoReply => {
+                crash::lost(node, entry, &suspect, end);
+                connections.crash_watch.add(node, connections, entry, suspect, Exposure::Lost);
+            }
+        }
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        let Some(suspect) = self.suspect.take() else { return };
+        let RunGuard { node, connections, entry, .. } = &*self;
+        // Not logged: callers may leave in large numbers. A crash is logged with its suspects.
+        node.metrics.crash_losses.with_label_values(&["abandoned"]).inc();
+        connections.crash_watch.add(node, connections, entry, suspect, Exposure::Abandoned);
+    }
+}
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -2,7 +2,6 @@
 
 use std::{
     hash::Hasher,
-    net::SocketAddr,
     sync::{Arc, atomic::Ordering},
     time::{Duration, Instant},
 };
@@ -16,7 +15,7 @@
 use policy::{
     outcome::{Fate, Reason},
     relay::{
-        crash_quarantine::{self, CrashReport},
+        crash_suspects::Suspect,
         merge,
         pool::UpstreamHandle,
         request::{Completion, Plan, PlannedAttempt, RequestState},
@@ -47,8 +46,6 @@
     pool_index: usize,
     result: AttemptResult,
     instance: id::Instance,
-    handle: UpstreamHandle,
-    address: SocketAddr,
     elapsed: Duration,
 }
 
@@ -129,13 +126,18 @@
         let delay = jittered(&node, retry_after::delay(Reason::Overload));
         return response::failure(Fate::NotRun, Reason::Overload, Some(delay));
     }
+    let suspect = Suspect {
+        request_id: request_log::id_text(&metadata.request_id).into(),
+        fingerprint,
+        arrival: node.random() as u32,
+        replied: Arc::default(),
+    };
     let mut task = RequestTask {
         attempt_head: attempt_head(&head),
         log: RequestLog::new(&node, &metadata.request_id, &route, table.generation, arrived),
         request_id: metadata.request_id,
         body,
-        fingerprint,
-        arrival: node.random() as u32,
+        suspect,
         route,
         node,
     };
@@ -224,9 +226,7 @@
     attempt_head: request::Parts,
     request_id: HeaderValue,
     body: Bytes,
-    fingerprint: u64,
-    /// Random id that distinguishes this arrival from others of the same request in crash reports.
-    arrival: u32,
+    suspect: Suspect,
     log: RequestLog,
 }
 
@@ -282,7 +282,7 @@
         replies: &mut Vec<ReceivedReply>,
         failure_reply: &mut Option<ReceivedReply>,
     ) {
-        let FinishedAttempt { pool_index, result, instance, handle, address, elapsed } = finished;
+        let FinishedAttempt { pool_index, result, instance, elapsed } = finished;
         let mut end = result.end;
         let mut cause = result.cause;
         let signed = result.reply.as_ref().is_some_and(|r| r.metadata.signature.is_some());
@@ -294,9 +294,6 @@
         let attempt =
             request_log::Attempt { pool_index, end, cause: cause.as_deref(), upstream: &instance };
         self.log.attempt_ended(state, attempt, elapsed);
-        if end == AttemptEnd::ConnectionLost {
-            self.spawn_crash_check(handle, address);
-        }
         let counts = state.record_end(pool_index, end);
         match result.reply {
             Some(reply) if counts => replies.push(reply),
@@ -307,28 +304,6 @@
         }
     }
 
-    /// Checks in the background whether the upstream of a lost attempt has crashed, and reports
-    /// the request if so.
-    fn spawn_crash_check(&self, handle: UpstreamHandle, address: SocketAddr) {
-        let node = self.node.clone();
-        let connections = node.connections.upstream(handle);
-        let request_id = self.request_id.clone();
-        let report = CrashReport {
-            fingerprint: self.fingerprint,
-            arrival: self.arrival,
-            remaining_ms: crash_quarantine::REPORT_TTL.as_millis() as u32,
-        };
-        let id = request_id.to_str().unwrap_or("unknown");
-        crash::lost(&node, id, report, address, request_log::end_name(AttemptEnd::ConnectionLost));
-        tokio::spawn(async move {
-            let reports = connections.detect_crash(node.clone(), address, report).await;
-            if reports.contains(&report) {
-                request_log::upstream_crashed(&node, &request_id, report.fingerprint, address);
-            }
-            crash::publish(&node, &reports, None);
-        });
-    }
-
     /// Returns the future of an attempt sent at `now`.
     fn send(
         &self,
@@ -341,22 +316,22 @@
         let message = AttemptRequest {
             request,
             request_id: self.request_id.clone(),
-            instance: choice.entry.instance.clone(),
             deadline,
             repeatable: self.route.repeatable,
+            suspect: self.suspect.clone(),
         };
         let instance = choice.entry.instance.clone();
         let node = self.node.clone();
         let connections = node.connections.upstream(choice.handle);
         let handle = choice.handle;
         let mut guard = AttemptGuard { node: node.clone(), handle, sent: now, end: None };
-        let address = choice.entry.address.0;
+        let entry = choice.entry.clone();
         Box::pin(async move {
-            let result = connections.send(node, address, choice.max_connections, message).await;
+            let result = connections.send(node, entry, choice.max_connections, message).await;
             guard.end = Some(result.end);
             let elapsed = guard.node.now().saturating_duration_since(now);
             drop(guard);
-            FinishedAttempt { pool_index, result, instance, handle, address, elapsed }
+            FinishedAttempt { pool_index, result, instance, elapsed }
         })
     }
 
@@ -368,8 +343,9 @@
         failure_reply: Option<ReceivedReply>,
     ) -> Response<Body> {
         let node = &self.node;
-        if !replies.is_empty() && node.crash_quarantine.lock().clear_unconfirmed(self.fingerprint) {
-            crash::dropped(node, Some(self.fingerprint), 1, crash::Drop::Cleared);
+        let fingerprint = self.suspect.fingerprint;
+        if !replies.is_empty() && node.crash_quarantine.lock().clear_unconfirmed(fingerprint) {
+            crash::dropped(node, Some(fingerprint), 1, crash::DropCause::Cleared);
         }
         match (completion, &self.route.target) {
             (Completion::Complete | Completion::Partial, Target::FanOut { top_k, .. }) => {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod connection;
 mod crash;
+mod crash_watch;
 pub mod forward;
 pub mod http_server;
 pub mod interface;
--- a/crates/relay/src/request_log.rs
+++ b/crates/relay/src/request_log.rs
@@ -204,20 +204,6 @@
     }
 }
 
-/// Records that an upstream crashed while it ran a request.
-pub(crate) fn upstream_crashed(
-    node: &Node,
-    request_id: &HeaderValue,
-    fingerprint: u64,
-    upstream: std::net::SocketAddr,
-) {
-    if node.log_limiter.allows(node.now(), LogKind::RoutingState) {
-        let request = id_text(request_id);
-        let fingerprint = format!("{fingerprint:016x}");
-        tracing::warn!(request, fingerprint, %upstream, "an upstream crashed while it ran this request");
-    }
-}
-
 /// Records that a request was refused because too many of its pools are short of capacity.
 pub(crate) fn not_admitted(
     node: &Node,
@@ -253,7 +239,7 @@
     }
 }
 
-fn id_text(request_id: &HeaderValue) -> &str {
+pub(crate) fn id_text(request_id: &HeaderValue) -> &str {
     request_id.to_str().unwrap_or("unknown")
 }
 
