A crash is confirmed by the process that takes the upstream's place

Callers saw: a request that crashes upstreams is let through again and again where crashed upstreams are back within 50 ms, or another one has their address. Cause: a crash was confirmed only by a refused connection 50 ms after the loss; what listens there then may be the next process. It is reported once the registry lists a later process at the upstream's address or under its id, or once one answers in its place (421).

--- a/crates/balsamgate/tests/crash.rs
+++ b/crates/balsamgate/tests/crash.rs
@@ -119,6 +119,17 @@
         }
     }
 
+    /// Waits for `time`, during which crashed upstreams may be replaced.
+    async fn pause(&mut self, case: Case, time: Duration, replaced: &mut usize) {
+        let start = Instant::now();
+        while start.elapsed() < time {
+            if case.after == After::Replaced {
+                self.replace_crashed(case, replaced).await;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
     fn runs(&self) -> Vec<Run> {
         self.upstreams.iter().flat_map(Upstream::runs).collect()
     }
@@ -151,15 +162,7 @@
         ids.push(format!("early-{arrival}"));
         testbed.arrive(arrival % NODES, case, &format!("early-{arrival}")).await;
         arrival += 1;
-        let pause = Duration::from_millis(400);
-        let step = Duration::from_millis(10);
-        let start = Instant::now();
-        while start.elapsed() < pause {
-            if case.after == After::Replaced {
-                testbed.replace_crashed(case, &mut replaced).await;
-            }
-            tokio::time::sleep(step).await;
-        }
+        testbed.pause(case, Duration::from_millis(400), &mut replaced).await;
     }
     let crashes = testbed.crashes();
     let last = crashes.iter().take(LAST_FREE_CRASH).next_back().expect("an upstream crashes");
@@ -170,7 +173,8 @@
         testbed.arrive(arrival % NODES, case, &id).await;
         arrival += 1;
         // Long enough for the crash and its report.
-        tokio::time::sleep(case.crash_delay + Duration::from_millis(150)).await;
+        let pause = case.crash_delay + Duration::from_millis(150);
+        testbed.pause(case, pause, &mut replaced).await;
         late.push(id);
     }
     let runs = testbed.runs();
--- a/crates/policy/src/relay/registry.rs
+++ b/crates/policy/src/relay/registry.rs
@@ -202,6 +202,14 @@
         })
     }
 
+    /// Returns whether another process has taken the place of the one that `entry` registers: it
+    /// started later, and has its address or its instance id.
+    pub fn is_replaced(&self, entry: &Entry) -> bool {
+        let entries = self.keys.values().filter_map(|state| state.entry.as_ref());
+        let mut later = entries.filter(|e| e.born_ms > entry.born_ms);
+        later.any(|e| e.address == entry.address || e.instance == entry.instance)
+    }
+
     /// Returns the number of pools with a ready upstream, by failure domain.
     pub fn coverage(&self) -> FastMap<SmolStr, usize> {
         let ready = self.usable().filter(|(_, availability)| *availability == Availability::Ready);
--- a/crates/policy/tests/relay_registry.rs
+++ b/crates/policy/tests/relay_registry.rs
@@ -197,3 +197,25 @@
     assert_eq!(usable(&registry), [ready("b"), ready("c")]);
     assert_eq!(registry.revision(), Revision(5));
 }
+
+#[test]
+fn a_process_that_another_one_has_replaced_is_recognized() {
+    let now = Instant::now();
+    let old = entry("a", false);
+    let check = |registered: Entry, replaced: bool| {
+        let mut registry = Registry::new(DRAIN);
+        let text = format!("{registered:?}");
+        let events = vec![put("a", 1), event("other", 2, Change::Put(registered))];
+        registry.apply(now, events, Revision(2));
+        assert_eq!(registry.is_replaced(&old), replaced, "{text}");
+    };
+    let elsewhere = |name| Entry {
+        address: "10.0.0.2:80".parse().expect("address"),
+        born_ms: 2,
+        ..entry(name, false)
+    };
+    check(Entry { born_ms: 2, ..entry("b", false) }, true);
+    check(elsewhere("a"), true);
+    check(elsewhere("b"), false);
+    check(entry("b", false), false);
+}
--- a/crates/relay/src/crash_watch.rs
+++ b/crates/relay/src/crash_watch.rs
@@ -76,6 +76,7 @@
         if let Some(dropped) = dropped {
             crash::dropped(node, Some(dropped.fingerprint), 1, crash::DropCause::SuspectsFull);
         }
+        node.suspected_upstreams.add(entry, connections);
         self.start(node, connections, entry);
     }
 
@@ -90,6 +91,15 @@
         runtime.spawn(watch(node.clone(), connections.clone(), entry.clone()));
     }
 
+    /// Reports the suspects of an upstream in whose place another process has been found.
+    pub(crate) fn record_replaced(&self, node: &Node, entry: &Entry) {
+        let suspects = self.state.lock().suspects.len();
+        if suspects > 0 {
+            crash::checked(node, entry, suspects, "replaced", None);
+            self.report(node, entry, Proof::Replaced);
+        }
+    }
+
     /// Reports the suspects, as the upstream has crashed.
     fn report(&self, node: &Node, entry: &Entry, proof: Proof) {
         let suspects = self.state.lock().suspects.take(node.now(), proof);
@@ -97,6 +107,40 @@
     }
 }
 
+/// Upstreams with suspects, whose registry entries are watched.
+#[derive(Debug, Default)]
+pub(crate) struct SuspectedUpstreams {
+    upstreams: Mutex<Vec<(Arc<Entry>, Arc<UpstreamConnections>)>>,
+}
+
+impl SuspectedUpstreams {
+    fn add(&self, entry: &Arc<Entry>, connections: &Arc<UpstreamConnections>) {
+        let mut upstreams = self.upstreams.lock();
+        if !upstreams.iter().any(|(_, known)| Arc::ptr_eq(known, connections)) {
+            upstreams.push((entry.clone(), connections.clone()));
+        }
+    }
+
+    /// Reports the suspects of upstreams that `node`'s registry shows to have been replaced. To
+    /// be called after each change of the registry.
+    pub(crate) fn check_registry(&self, node: &Node) {
+        let now = node.now();
+        self.upstreams.lock().retain(|(_, connections)| {
+            let suspects = &mut connections.crash_watch.state.lock().suspects;
+            suspects.expire(now);
+            !suspects.is_empty()
+        });
+        let replaced: Vec<_> = {
+            let registry = node.registry.lock();
+            let upstreams = self.upstreams.lock();
+            upstreams.iter().filter(|(entry, _)| registry.is_replaced(entry)).cloned().collect()
+        };
+        for (entry, connections) in replaced {
+            connections.crash_watch.record_replaced(node, &entry);
+        }
+    }
+}
+
 /// Checks the upstream of `connections` as often as its suspects require.
 async fn watch(node: Arc<Node>, connections: Arc<UpstreamConnections>, entry: Arc<Entry>) {
     let watch = &connections.crash_watch;
@@ -165,7 +209,8 @@
                 connections.crash_watch.record_alive(node);
             }
             AttemptEnd::Refused => connections.crash_watch.record_alive(node),
-            AttemptEnd::NotSent | AttemptEnd::InstanceReplaced => {}
+            AttemptEnd::NotSent => {}
+            AttemptEnd::InstanceReplaced => connections.crash_watch.record_replaced(node, entry),
             AttemptEnd::ConnectionLost | AttemptEnd::BadReply | AttemptEnd::NoReply => {
                 crash::lost(node, entry, &suspect, end);
                 connections.crash_watch.add(node, connections, entry, suspect, Exposure::Lost);
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -31,6 +31,7 @@
 
 use crate::{
     connection,
+    crash_watch::SuspectedUpstreams,
     interface::{Codec, PlatformSource, PublishedConfig},
     log_limiter::LogLimiter,
     memory::MemoryBudget,
@@ -69,6 +70,7 @@
     pub(crate) round_robin: Mutex<WeightedRoundRobin>,
     pub(crate) crash_quarantine: Mutex<crash_quarantine::CrashQuarantine>,
     pub(crate) connections: connection::ConnectionPools,
+    pub(crate) suspected_upstreams: SuspectedUpstreams,
     pub(crate) membership: Mutex<Membership>,
     /// Records of the other nodes, sorted by node: a snapshot of `membership`.
     pub(crate) peers: ArcSwap<Vec<Record>>,
@@ -141,6 +143,7 @@
             round_robin: Mutex::new(WeightedRoundRobin::new()),
             crash_quarantine: Mutex::default(),
             connections: connection::ConnectionPools::new(),
+            suspected_upstreams: SuspectedUpstreams::default(),
             membership: Mutex::new(membership),
             peers: ArcSwap::default(),
             peers_version: AtomicUsize::new(usize::MAX),
--- a/crates/relay/src/platform_watch.rs
+++ b/crates/relay/src/platform_watch.rs
@@ -170,6 +170,7 @@
         }
     }
     sync_pools(node);
+    node.suspected_upstreams.check_registry(node);
     if !applied.is_empty() {
         membership::refresh_coverage(node);
     }
