A reply of one pool no longer clears a request that crashes another pool

Callers saw: one pool of a search losing an upstream or two under each arrival of a search that was answered in part. Cause: any reply withdrew the reports on the request, before the check of the same arrival had even added its own. With several nodes the peers' heartbeats brought the report back; a node alone, or one cut off from its peers, never reached two arrivals. Change: reports are withdrawn only by an arrival that all pools answered and no upstream was lost under; what was withdrawn is remembered, so that peers do not bring it back against an innocent request.

--- a/crates/balsamgate/tests/crash.rs
+++ b/crates/balsamgate/tests/crash.rs
@@ -18,7 +18,6 @@
 const POOLS: usize = 5;
 /// Upstreams of each pool: more than the request may crash.
 const UPSTREAMS: usize = 12;
-const NODES: usize = 2;
 /// Crash from which on the time to refuse the request everywhere runs.
 const LAST_FREE_CRASH: usize = 3;
 /// Time from that crash until every node must refuse the request.
@@ -44,6 +43,9 @@
     /// Time after which the caller closes its connection; `None` if it waits for the answer.
     leaves_after: Option<Duration>,
     after: After,
+    /// Pool whose upstreams the request crashes; `None` for all pools.
+    pool: Option<&'static str>,
+    nodes: usize,
 }
 
 const CASE: Case = Case {
@@ -51,6 +53,8 @@
     crash_delay: Duration::ZERO,
     leaves_after: None,
     after: After::Gone,
+    pool: None,
+    nodes: 2,
 };
 
 struct Testbed {
@@ -72,10 +76,11 @@
         let store = Store::start(cancel.clone()).await.expect("a store");
         store.put(CONFIG_KEY, config(1, POOLS).to_json().as_bytes());
         let upstreams = upstreams(&store, POOLS, UPSTREAMS).await;
-        let fleet = Fleet::start(NODES as u8, store.address());
+        let fleet = Fleet::start(case.nodes as u8, store.address());
         fleet.ready().await;
         let testbed = Testbed { store, upstreams, fleet, cancel };
-        testbed.upstreams.iter().for_each(|u| u.set_faults(faults(case)));
+        let crashes = |u: &&Upstream| case.pool.is_none_or(|pool| u.pool() == pool);
+        testbed.upstreams.iter().filter(crashes).for_each(|u| u.set_faults(faults(case)));
         testbed
     }
 
@@ -160,7 +165,7 @@
     while early < 12 && testbed.crashes().len() < LAST_FREE_CRASH {
         early += 1;
         ids.push(format!("early-{arrival}"));
-        testbed.arrive(arrival % NODES, case, &format!("early-{arrival}")).await;
+        testbed.arrive(arrival % case.nodes, case, &format!("early-{arrival}")).await;
         arrival += 1;
         testbed.pause(case, Duration::from_millis(400), &mut replaced).await;
     }
@@ -168,9 +173,9 @@
     let last = crashes.iter().take(LAST_FREE_CRASH).next_back().expect("an upstream crashes");
     tokio::time::sleep_until((*last + CONTACT).into()).await;
     let mut late = Vec::new();
-    for _ in 0..4 * NODES {
+    for _ in 0..8 {
         let id = format!("late-{arrival}");
-        testbed.arrive(arrival % NODES, case, &id).await;
+        testbed.arrive(arrival % case.nodes, case, &id).await;
         arrival += 1;
         // Long enough for the crash and its report.
         let pause = case.crash_delay + Duration::from_millis(150);
@@ -218,3 +223,8 @@
 async fn a_request_is_refused_although_its_upstreams_return_at_once() {
     check(Case { path: "/once/crash", after: After::Replaced, ..CASE }).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_search_that_only_some_of_its_pools_survive_is_refused() {
+    check(Case { pool: Some("shard-1"), nodes: 1, ..CASE }).await;
+}
--- a/crates/policy/src/relay/crash_quarantine.rs
+++ b/crates/policy/src/relay/crash_quarantine.rs
@@ -21,6 +21,9 @@
 /// Largest number of requests with reports; the oldest entry is evicted first.
 pub const MAX_FINGERPRINTS: usize = 1_024;
 
+/// Largest number of withdrawn reports remembered for one request.
+const MAX_WITHDRAWN: usize = 8;
+
 /// A crash report as exchanged between nodes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
@@ -63,6 +66,8 @@
 struct Suspect {
     /// Reported arrivals, without duplicates.
     arrivals: Vec<u32>,
+    /// Arrivals whose reports were withdrawn. Peers may send those reports again.
+    withdrawn: Vec<u32>,
     expires_at: Instant,
 }
 
@@ -89,7 +94,9 @@
         let evicted = self.make_room(now, report.fingerprint);
         let suspect = self.suspect_mut(now, report.fingerprint);
         let arrivals = &mut suspect.arrivals;
-        if arrivals.contains(&report.arrival) || arrivals.len() >= QUARANTINE_ARRIVALS {
+        let known =
+            arrivals.contains(&report.arrival) || suspect.withdrawn.contains(&report.arrival);
+        if known || arrivals.len() >= QUARANTINE_ARRIVALS {
             return Recorded { change: Change::None, evicted };
         }
         arrivals.push(report.arrival);
@@ -106,15 +113,18 @@
         self.suspects.get(&fingerprint).is_some_and(quarantined)
     }
 
-    /// Removes the reports on a request that an upstream has run without crashing. A request
-    /// that is already quarantined stays so. Returns whether there were reports to remove.
+    /// Withdraws the reports on a request that all its upstreams have run without crashing. A
+    /// request that is already quarantined stays so. Returns whether there were reports to
+    /// withdraw.
     pub fn clear_unconfirmed(&mut self, fingerprint: u64) -> bool {
-        let Some(suspect) = self.suspects.get(&fingerprint) else { return false };
-        let unconfirmed = suspect.arrivals.len() < QUARANTINE_ARRIVALS;
-        if unconfirmed {
-            self.remove(fingerprint);
+        let Some(suspect) = self.suspects.get_mut(&fingerprint) else { return false };
+        if suspect.arrivals.is_empty() || suspect.arrivals.len() >= QUARANTINE_ARRIVALS {
+            return false;
         }
-        unconfirmed
+        suspect.withdrawn.append(&mut suspect.arrivals);
+        let excess = suspect.withdrawn.len().saturating_sub(MAX_WITHDRAWN);
+        suspect.withdrawn.drain(..excess);
+        true
     }
 
     /// Removes the entries that have expired and returns their fingerprints.
@@ -171,7 +181,7 @@
         if !self.suspects.contains_key(&fingerprint) {
             self.order.push_back(fingerprint);
         }
-        let new = Suspect { arrivals: Vec::new(), expires_at: now };
+        let new = Suspect { arrivals: Vec::new(), withdrawn: Vec::new(), expires_at: now };
         self.suspects.entry(fingerprint).or_insert(new)
     }
 
--- a/crates/policy/src/relay/request.rs
+++ b/crates/policy/src/relay/request.rs
@@ -131,6 +131,8 @@
     exhausted: usize,
     /// Number of times that the budget denied a second attempt.
     denied: usize,
+    /// Number of attempts after which the upstream may have crashed.
+    lost: usize,
     /// Whether admission control refused the request.
     refused: bool,
 }
@@ -139,7 +141,7 @@
     /// Creates the state of a request of which nothing has been sent.
     pub fn new(plan: Plan) -> RequestState {
         let pools = plan.pools.iter().map(|_| PoolState::default()).collect();
-        RequestState { plan, pools, replied: 0, exhausted: 0, denied: 0, refused: false }
+        RequestState { plan, pools, replied: 0, exhausted: 0, denied: 0, lost: 0, refused: false }
     }
 
     /// Decides whether to admit the request, given its random number `draw` from 0 to 1. If
@@ -198,6 +200,13 @@
         self.pools.iter().map(|p| p.tried.len()).sum()
     }
 
+    /// Returns whether every upstream that was sent the request has survived it, as far as this
+    /// node knows, and every pool has replied.
+    pub fn survived(&self) -> bool {
+        let settled = |p: &PoolState| p.replied && p.in_flight == 0;
+        self.lost == 0 && self.pools.iter().all(settled)
+    }
+
     /// Returns the pools that have not replied, each with the upstreams that were tried.
     pub fn missing(&self) -> impl Iterator<Item = (&id::Pool, &[id::Instance])> {
         let missing = self.pools.iter().zip(&self.plan.pools).filter(|(p, _)| !p.replied);
@@ -317,6 +326,9 @@
         let fate = end.fate();
         state.fate = Some(state.fate.map_or(fate, |f| f.combine(fate)));
         state.last_end = Some(end);
+        if matches!(end, AttemptEnd::ConnectionLost | AttemptEnd::BadReply | AttemptEnd::NoReply) {
+            self.lost += 1;
+        }
         let used = end == AttemptEnd::Reply { success: true } && !state.replied;
         if used {
             state.replied = true;
--- a/crates/policy/tests/relay_crash_quarantine.rs
+++ b/crates/policy/tests/relay_crash_quarantine.rs
@@ -56,6 +56,18 @@
     assert!(quarantine.is_quarantined(now, 7));
 }
 
+#[test]
+fn a_peer_does_not_bring_a_withdrawn_report_back() {
+    let now = Instant::now();
+    let mut quarantine = CrashQuarantine::new();
+    quarantine.record(now, report(7, 1));
+    assert!(quarantine.clear_unconfirmed(7));
+    assert!(!quarantine.record(now, report(7, 1)).is_new());
+    quarantine.record(now, report(7, 2));
+    assert!(!quarantine.is_quarantined(now, 7));
+    assert!(!quarantine.clear_unconfirmed(8));
+}
+
 #[test]
 fn reports_expire_although_nodes_pass_them_on() {
     let now = Instant::now();
--- a/crates/policy/tests/relay_request.rs
+++ b/crates/policy/tests/relay_request.rs
@@ -287,3 +287,24 @@
     assert!(!case.request.record_end(0, OK));
     assert_eq!(case.completion(), None, "the other pool has not replied");
 }
+
+#[test]
+fn a_request_is_survived_only_if_no_upstream_may_have_crashed() {
+    let check = |first: AttemptEnd, survived: bool| {
+        let mut case = Case::new(2, 3, 1, 100.0, true);
+        case.due();
+        case.end(0, first);
+        if first != OK {
+            case.due();
+            case.end(0, OK);
+        }
+        assert!(!case.request.survived(), "{first:?}: the other pool has not replied");
+        case.end(1, OK);
+        assert_eq!(case.request.survived(), survived, "{first:?}");
+    };
+    check(OK, true);
+    check(AttemptEnd::Refused, true);
+    check(AttemptEnd::NotSent, true);
+    check(AttemptEnd::ConnectionLost, false);
+    check(AttemptEnd::BadReply, false);
+}
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -344,7 +344,7 @@
     ) -> Response<Body> {
         let node = &self.node;
         let fingerprint = self.suspect.fingerprint;
-        if !replies.is_empty() && node.crash_quarantine.lock().clear_unconfirmed(fingerprint) {
+        if state.survived() && node.crash_quarantine.lock().clear_unconfirmed(fingerprint) {
             crash::dropped(node, Some(fingerprint), 1, crash::DropCause::Cleared);
         }
         match (completion, &self.route.target) {
