A search that crashes all its upstreams is refused after its first arrival

Callers saw: each arrival of a search takes an upstream or two of every pool down; the second arrival, later than the stated 4 s, still reached upstreams of all pools. Cause: reports were counted by arrival, whatever crashed under one, and an arrival went on to send second attempts while its first ones crashed their upstreams. Change: an arrival under which three upstreams crashed and none replied counts as two. A request that has lost three attempts without a reply waits 75 ms with second attempts, the time of the check, and sends none once it is quarantined; replies to attempts in flight still count. An arrival that other pools answer counts as one, so that an outage of upstreams of many pools does not refuse the searches that ran there.

--- a/crates/balsamgate/tests/crash.rs
+++ b/crates/balsamgate/tests/crash.rs
@@ -22,8 +22,9 @@
 const LAST_FREE_CRASH: usize = 3;
 /// Time from that crash until every node must refuse the request.
 const CONTACT: Duration = Duration::from_secs(4);
-/// Retries later than that which may still reach upstreams.
-const MAX_LATE_RETRIES: usize = 3;
+/// Sends to upstreams that may come later than that. The stated bound counts retries; a retry of
+/// a search has a send to each pool.
+const MAX_LATE_SENDS: usize = 3;
 
 /// What happens to the address of an upstream that has crashed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -188,9 +189,9 @@
     let after: Vec<usize> = late.iter().map(sends).collect();
     let crashed = testbed.upstreams.iter().filter(|u| u.crashed_at().is_some()).count();
     eprintln!("{case:?}: sends {before:?}, late {after:?}, {crashed} upstreams crashed");
-    let late_retries = after.iter().filter(|n| **n > 0).count();
+    let late_sends: usize = after.iter().sum();
     assert!(
-        late_retries <= MAX_LATE_RETRIES,
+        late_sends <= MAX_LATE_SENDS,
         "{case:?}: sends {before:?}, late {after:?}, {crashed} upstreams crashed; logs in {}",
         testbed.fleet.directory().display()
     );
--- a/crates/policy/src/relay/crash_quarantine.rs
+++ b/crates/policy/src/relay/crash_quarantine.rs
@@ -29,7 +29,8 @@
 pub struct CrashReport {
     /// Hash of the request's host, method, path and body.
     pub fingerprint: u64,
-    /// Random id of the arrival during which an upstream crashed.
+    /// Random id of the arrival under which an upstream crashed. An arrival that is conclusive
+    /// by itself is reported under two ids.
     pub arrival: u32,
     /// Remaining validity, in milliseconds.
     pub remaining_ms: u32,
--- a/crates/policy/src/relay/crash_suspects.rs
+++ b/crates/policy/src/relay/crash_suspects.rs
@@ -8,7 +8,7 @@
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -45,6 +45,45 @@
     Replaced,
 }
 
+/// Number of upstreams that may crash under one arrival before it is reported twice. Upstreams of
+/// several pools crash at the same time in an outage, but other pools then reply.
+pub const CONCLUSIVE_CRASHES: u32 = 3;
+
+/// One arrival of a request, shared by its attempts.
+#[derive(Debug)]
+pub struct Arrival {
+    id: u32,
+    replied: AtomicBool,
+    crashes: AtomicU32,
+}
+
+impl Arrival {
+    /// Creates an arrival with the random id `id`, of which the lowest bit is not used.
+    pub fn new(id: u32) -> Arrival {
+        let (replied, crashes) = (AtomicBool::new(false), AtomicU32::new(0));
+        Arrival { id: id & !1, replied, crashes }
+    }
+
+    /// Returns its id.
+    pub fn id(&self) -> u32 {
+        self.id
+    }
+
+    /// Records that an upstream has replied to the request.
+    pub fn record_reply(&self) {
+        self.replied.store(true, Ordering::Relaxed);
+    }
+
+    /// Records that an upstream has crashed under the request. Returns the ids to report: a second
+    /// one if all upstreams that are known to have run the request have crashed, and they are
+    /// [`CONCLUSIVE_CRASHES`] or more.
+    pub fn record_crash(&self) -> impl Iterator<Item = u32> + use<> {
+        let crashes = self.crashes.fetch_add(1, Ordering::Relaxed) + 1;
+        let conclusive = crashes >= CONCLUSIVE_CRASHES && !self.replied.load(Ordering::Relaxed);
+        [self.id].into_iter().chain(conclusive.then_some(self.id | 1))
+    }
+}
+
 /// A request that an upstream was running.
 #[derive(Debug, Clone)]
 pub struct Suspect {
@@ -52,17 +91,8 @@
     pub request_id: SmolStr,
     /// Hash of the request's host, method, path and body.
     pub fingerprint: u64,
-    /// Random id of the arrival.
-    pub arrival: u32,
-    /// Whether an upstream has replied to the arrival.
-    pub replied: Arc<AtomicBool>,
-}
-
-impl Suspect {
-    /// Returns whether an upstream has replied to the arrival.
-    pub fn has_reply(&self) -> bool {
-        self.replied.load(Ordering::Relaxed)
-    }
+    /// The arrival that the upstream was running.
+    pub arrival: Arc<Arrival>,
 }
 
 #[derive(Debug)]
--- a/crates/policy/src/relay/request.rs
+++ b/crates/policy/src/relay/request.rs
@@ -37,6 +37,11 @@
 /// Longest time on the network of a reply that left its upstream by the goal: several times the
 /// longest trip in the known deployments.
 const MAX_REPLY_TRAVEL: Duration = Duration::from_millis(25);
+/// Number of lost attempts, while no upstream has replied, from which on second attempts wait: the
+/// request may be crashing its upstreams.
+const MAX_LOST_WITHOUT_REPLY: usize = 3;
+/// Time for which second attempts then wait: as long as it takes to check the upstreams.
+const CRASH_CHECK_TIME: Duration = Duration::from_millis(75);
 /// Time after which a second attempt that the budget denied is tried again.
 const BUDGET_POLL: Duration = Duration::from_millis(10);
 
@@ -133,6 +138,10 @@
     denied: usize,
     /// Number of attempts after which the upstream may have crashed.
     lost: usize,
+    /// When second attempts may be sent again, once they have had to wait.
+    hold_until: Option<Instant>,
+    /// Whether no second attempt may be sent any more.
+    stopped: bool,
     /// Whether admission control refused the request.
     refused: bool,
 }
@@ -141,7 +150,17 @@
     /// Creates the state of a request of which nothing has been sent.
     pub fn new(plan: Plan) -> RequestState {
         let pools = plan.pools.iter().map(|_| PoolState::default()).collect();
-        RequestState { plan, pools, replied: 0, exhausted: 0, denied: 0, lost: 0, refused: false }
+        RequestState {
+            plan,
+            pools,
+            replied: 0,
+            exhausted: 0,
+            denied: 0,
+            lost: 0,
+            hold_until: None,
+            stopped: false,
+            refused: false,
+        }
     }
 
     /// Decides whether to admit the request, given its random number `draw` from 0 to 1. If
@@ -231,6 +250,9 @@
         pools: &mut Pools,
         rng: &mut dyn RngCore,
     ) -> Vec<PlannedAttempt> {
+        if self.lost >= MAX_LOST_WITHOUT_REPLY && self.replied == 0 {
+            self.hold_until.get_or_insert(now + CRASH_CHECK_TIME);
+        }
         let mut due = Vec::new();
         for pool_index in 0..self.pools.len() {
             if let Some(attempt) = self.due_attempt(now, pool_index, pools, rng) {
@@ -262,6 +284,14 @@
         }
         let is_first = state.tried.is_empty();
         let idle = state.in_flight == 0;
+        if !is_first && self.stopped {
+            if idle {
+                self.mark_exhausted(pool_index);
+            } else {
+                state.second_attempt_at = None;
+            }
+            return None;
+        }
         if !idle {
             let hedge_due = state.second_attempt_at.is_some_and(|at| at <= now);
             if !hedge_due || !repeatable || state.tried.len() >= max_attempts {
@@ -281,6 +311,9 @@
             }
             return None;
         }
+        if !is_first && self.hold_until.is_some_and(|until| now < until) {
+            return None;
+        }
         let connection_limit = self.plan.connection_limits[pool_index];
         let Some(choice) = pools.choose(now, pool, &state.tried, connection_limit, rng) else {
             self.mark_exhausted(pool_index);
@@ -313,6 +346,11 @@
         Some(PlannedAttempt { pool_index, choice, cause })
     }
 
+    /// Stops second attempts. Replies to attempts in flight still count.
+    pub fn stop_second_attempts(&mut self) {
+        self.stopped = true;
+    }
+
     fn mark_exhausted(&mut self, pool_index: usize) {
         self.pools[pool_index].exhausted = true;
         self.exhausted += 1;
@@ -427,9 +465,15 @@
             // No attempt is sent any more.
             return wake;
         }
+        let hold_until = self.hold_until.filter(|until| *until > now);
         for state in self.pools.iter().filter(|p| !p.replied && !p.exhausted) {
             let may_hedge = self.plan.repeatable && state.tried.len() < self.plan.max_attempts;
-            if let Some(at) = state.second_attempt_at.filter(|_| may_hedge) {
+            let due = match hold_until {
+                Some(until) if state.in_flight == 0 => Some(until),
+                Some(until) => state.second_attempt_at.map(|at| at.max(until)),
+                None => state.second_attempt_at,
+            };
+            if let Some(at) = due.filter(|_| may_hedge) {
                 wake = wake.min(at);
             }
         }
--- a/crates/policy/tests/relay_crash_suspects.rs
+++ b/crates/policy/tests/relay_crash_suspects.rs
@@ -3,14 +3,18 @@
 //! Guards against crashes that are not put down to the request that caused them, because nobody
 //! waited for its reply any more, and against blaming requests that the upstream has survived.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use policy::relay::crash_suspects::{
-    ABANDONED_RUN, CHECK_DELAY, CrashSuspects, Exposure, MAX_SUSPECTS, Proof, SUSPICION, Suspect,
+    ABANDONED_RUN, Arrival, CHECK_DELAY, CONCLUSIVE_CRASHES, CrashSuspects, Exposure, MAX_SUSPECTS,
+    Proof, SUSPICION, Suspect,
 };
 
 fn suspect(fingerprint: u64) -> Suspect {
-    Suspect { request_id: "r".into(), fingerprint, arrival: 1, replied: Default::default() }
+    Suspect { request_id: "r".into(), fingerprint, arrival: Arc::new(Arrival::new(2)) }
 }
 
 /// What happens at the upstream, in milliseconds after the attempt of the suspect has ended.
@@ -108,3 +112,20 @@
     assert_eq!(dropped.map(|s| s.fingerprint), Some(0));
     assert_eq!(suspects.len(), MAX_SUSPECTS);
 }
+
+#[test]
+fn an_arrival_is_conclusive_if_three_upstreams_crashed_and_none_replied() {
+    let check = |crashes: u32, replied: bool, reports: &[u32]| {
+        let arrival = Arrival::new(9);
+        if replied {
+            arrival.record_reply();
+        }
+        let mut ids: Vec<u32> = (0..crashes).flat_map(|_| arrival.record_crash()).collect();
+        ids.dedup();
+        assert_eq!(ids, reports, "{crashes} crashes, replied: {replied}");
+    };
+    check(1, false, &[8]);
+    check(CONCLUSIVE_CRASHES - 1, false, &[8]);
+    check(CONCLUSIVE_CRASHES, false, &[8, 9]);
+    check(10, true, &[8]);
+}
--- a/crates/policy/tests/relay_request.rs
+++ b/crates/policy/tests/relay_request.rs
@@ -308,3 +308,38 @@
     check(AttemptEnd::ConnectionLost, false);
     check(AttemptEnd::BadReply, false);
 }
+
+#[test]
+fn second_attempts_wait_after_three_losses_without_a_reply() {
+    let check = |reply_first: bool, waits: bool| {
+        let mut case = Case::new(5, 3, 4, 100.0, true);
+        case.due();
+        if reply_first {
+            case.end(4, OK);
+        }
+        (0..3).for_each(|pool| _ = case.end(pool, AttemptEnd::ConnectionLost));
+        assert_eq!(case.at(5).due().is_empty(), waits, "reply first: {reply_first}");
+        if waits {
+            assert_eq!(case.request.next_wake(case.now()), case.start + ms(80));
+            assert_eq!(case.at(80).due().len(), 5, "they are sent once the upstreams were checked");
+        }
+    };
+    check(false, true);
+    check(true, false);
+}
+
+#[test]
+fn a_request_that_is_stopped_ends_with_the_replies_that_it_gets() {
+    let check = |replies: usize, completion: Option<Completion>| {
+        let mut case = Case::new(3, 3, 1, 100.0, true);
+        case.due();
+        case.request.stop_second_attempts();
+        (0..replies).for_each(|pool| _ = case.end(pool, OK));
+        (replies..3).for_each(|pool| _ = case.end(pool, AttemptEnd::ConnectionLost));
+        assert_eq!(case.at(50).due(), [], "{replies} replies");
+        assert_eq!(case.completion(), completion, "{replies} replies");
+    };
+    check(0, failed(Fate::MayHaveRun, Reason::Lost));
+    check(1, Some(Completion::Partial));
+    check(3, Some(Completion::Complete));
+}
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -64,7 +64,7 @@
     if node.log_limiter.allows(node.now(), LogKind::Crash) {
         let Suspect { request_id, fingerprint, arrival, .. } = suspect;
         let fingerprint = format_fingerprint(*fingerprint);
-        let arrival = format_arrival(*arrival);
+        let arrival = format_arrival(arrival.id());
         tracing::info!(
             request = %request_id, fingerprint, arrival, upstream = %entry.instance, end,
             "attempt lost; the upstream may have crashed"
@@ -100,7 +100,7 @@
     for Suspect { request_id, fingerprint, arrival, .. } in suspects {
         if node.log_limiter.allows(node.now(), LogKind::Crash) {
             let fingerprint = format_fingerprint(*fingerprint);
-            let arrival = format_arrival(*arrival);
+            let arrival = format_arrival(arrival.id());
             let upstream = entry.address;
             tracing::warn!(
                 request = %request_id, fingerprint, arrival, %upstream,
@@ -108,12 +108,14 @@
             );
         }
     }
-    let report = |s: &Suspect| CrashReport {
-        fingerprint: s.fingerprint,
-        arrival: s.arrival,
-        remaining_ms: crash_quarantine::REPORT_TTL.as_millis() as u32,
+    let reports_on = |s: &Suspect| {
+        let remaining_ms = crash_quarantine::REPORT_TTL.as_millis() as u32;
+        let fingerprint = s.fingerprint;
+        let report = move |arrival| CrashReport { fingerprint, arrival, remaining_ms };
+        s.arrival.record_crash().map(report)
     };
-    publish(node, &suspects.iter().map(report).collect::<Vec<_>>(), None);
+    let reports: Vec<CrashReport> = suspects.iter().flat_map(reports_on).collect();
+    publish(node, &reports, None);
 }
 
 /// Records `reports` and gossips those that are new. `from` is the peer that sent them, `None` if
--- a/crates/relay/src/crash_watch.rs
+++ b/crates/relay/src/crash_watch.rs
@@ -3,10 +3,7 @@
 //! An attempt that ends without a reply makes its request a suspect, also if nobody waits for the
 //! reply any more. The decisions are in [`policy::relay::crash_suspects`].
 
-use std::{
-    io,
-    sync::{Arc, atomic::Ordering},
-};
+use std::{io, sync::Arc};
 
 use parking_lot::Mutex;
 use policy::relay::{
@@ -205,7 +202,7 @@
         let RunGuard { node, connections, entry, .. } = &self;
         match end {
             AttemptEnd::Reply { .. } => {
-                suspect.replied.store(true, Ordering::Relaxed);
+                suspect.arrival.record_reply();
                 connections.crash_watch.record_alive(node);
             }
             AttemptEnd::Refused => connections.crash_watch.record_alive(node),
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -15,7 +15,7 @@
 use policy::{
     outcome::{Fate, Reason},
     relay::{
-        crash_suspects::Suspect,
+        crash_suspects::{Arrival, Suspect},
         merge,
         pool::UpstreamHandle,
         request::{Completion, Plan, PlannedAttempt, RequestState},
@@ -129,8 +129,7 @@
     let suspect = Suspect {
         request_id: request_log::id_text(&metadata.request_id).into(),
         fingerprint,
-        arrival: node.random() as u32,
-        replied: Arc::default(),
+        arrival: Arc::new(Arrival::new(node.random() as u32)),
     };
     let mut task = RequestTask {
         attempt_head: attempt_head(&head),
@@ -241,6 +240,12 @@
             if let Some(completion) = state.completion(now) {
                 break completion;
             }
+            let fingerprint = self.suspect.fingerprint;
+            if state.attempts_sent() > 0
+                && node.crash_quarantine.lock().is_quarantined(now, fingerprint)
+            {
+                state.stop_second_attempts();
+            }
             let due = node.with_rng(|rng| state.due_attempts(now, &mut node.pools.lock(), rng));
             for planned in due {
                 self.log.second_attempt(now, &state, &planned);
