A quarantined request is evicted from the full table last

Cause: the table of 1,024 requests evicted the oldest entry. Requests that merely ran on upstreams that crashed are newer than the one that keeps crashing them. Evidence: policy test, before: a quarantined request is gone after 2,048 requests that were suspected once. Change: quarantined requests are evicted last. After: it stays; the table keeps its bound.

--- a/crates/policy/src/relay/crash_quarantine.rs
+++ b/crates/policy/src/relay/crash_quarantine.rs
@@ -18,7 +18,8 @@
 pub const REPORT_TTL: Duration = Duration::from_secs(60);
 /// Number of reported arrivals from which on a request is refused.
 pub const QUARANTINE_ARRIVALS: usize = 2;
-/// Largest number of requests with reports; the oldest entry is evicted first.
+/// Largest number of requests with reports. The oldest entry is evicted first, and quarantined
+/// requests last.
 pub const MAX_FINGERPRINTS: usize = 1_024;
 
 /// Largest number of withdrawn reports remembered for one request.
@@ -72,6 +73,12 @@
     expires_at: Instant,
 }
 
+impl Suspect {
+    fn is_quarantined(&self) -> bool {
+        self.arrivals.len() >= QUARANTINE_ARRIVALS
+    }
+}
+
 /// Crash reports known to one node, by request fingerprint.
 #[derive(Debug, Default)]
 pub struct CrashQuarantine {
@@ -101,16 +108,14 @@
             return Recorded { change: Change::None, evicted };
         }
         arrivals.push(report.arrival);
-        let quarantined = arrivals.len() >= QUARANTINE_ARRIVALS;
         suspect.expires_at = suspect.expires_at.max(now + remaining);
-        let change = if quarantined { Change::Quarantined } else { Change::Suspected };
+        let change = if suspect.is_quarantined() { Change::Quarantined } else { Change::Suspected };
         Recorded { change, evicted }
     }
 
     /// Returns whether the request must be refused.
     pub fn is_quarantined(&self, now: Instant, fingerprint: u64) -> bool {
-        let quarantined =
-            |s: &Suspect| s.expires_at > now && s.arrivals.len() >= QUARANTINE_ARRIVALS;
+        let quarantined = |s: &Suspect| s.expires_at > now && s.is_quarantined();
         self.suspects.get(&fingerprint).is_some_and(quarantined)
     }
 
@@ -119,7 +124,7 @@
     /// withdraw.
     pub fn clear_unconfirmed(&mut self, fingerprint: u64) -> bool {
         let Some(suspect) = self.suspects.get_mut(&fingerprint) else { return false };
-        if suspect.arrivals.is_empty() || suspect.arrivals.len() >= QUARANTINE_ARRIVALS {
+        if suspect.arrivals.is_empty() || suspect.is_quarantined() {
             return false;
         }
         suspect.withdrawn.append(&mut suspect.arrivals);
@@ -163,8 +168,8 @@
         self.order.iter().rev().filter_map(reports_on).flatten().take(limit).collect()
     }
 
-    /// Makes room for an entry of `fingerprint`: evicts the oldest entry if the table is full,
-    /// and returns its fingerprint.
+    /// Makes room for an entry of `fingerprint`: if the table is full, evicts the oldest entry, of
+    /// a request that is not quarantined if possible. Returns its fingerprint.
     fn make_room(&mut self, now: Instant, fingerprint: u64) -> Option<u64> {
         if self.suspects.get(&fingerprint).is_some_and(|s| s.expires_at <= now) {
             self.remove(fingerprint);
@@ -172,7 +177,9 @@
         if self.suspects.contains_key(&fingerprint) || self.suspects.len() < MAX_FINGERPRINTS {
             return None;
         }
-        let oldest = self.order.front().copied()?;
+        let is_quarantined = |f: &u64| self.suspects.get(f).is_some_and(Suspect::is_quarantined);
+        let suspected = self.order.iter().find(|f| !is_quarantined(f));
+        let oldest = suspected.or(self.order.front()).copied()?;
         self.remove(oldest);
         Some(oldest)
     }
--- a/crates/policy/tests/relay_crash_quarantine.rs
+++ b/crates/policy/tests/relay_crash_quarantine.rs
@@ -94,3 +94,23 @@
     }
     assert_eq!(quarantine.reports(now, usize::MAX).len(), MAX_FINGERPRINTS);
 }
+
+/// Returns a quarantine with the request 7 in it, and then `newer` requests that are suspected
+/// once, as after a crash of many upstreams.
+fn quarantine_before_an_outage(now: Instant, newer: u64) -> CrashQuarantine {
+    let mut quarantine = CrashQuarantine::new();
+    quarantine.record(now, report(7, 1));
+    quarantine.record(now, report(7, 2));
+    for n in 0..newer {
+        quarantine.record(now + Duration::from_millis(n), report(1_000 + n, 1));
+    }
+    quarantine
+}
+
+#[test]
+fn an_outage_of_upstreams_does_not_evict_a_quarantined_request() {
+    let now = Instant::now();
+    let quarantine = quarantine_before_an_outage(now, 2 * MAX_FINGERPRINTS as u64);
+    assert!(quarantine.is_quarantined(now, 7));
+    assert!(quarantine.len(now) <= MAX_FINGERPRINTS + 1);
+}
