Reports on quarantined requests go first, and a full message makes the receiver fetch the others

Callers saw: a node that restarted, or had been cut off, let a request through that all others refused. Cause: a message held the 8 reports on the newest requests, and is the only way by which a node learns of those that were reported before. Requests that merely ran on upstreams that crashed are newer than the one that crashes them. Evidence: policy test, before: a quarantined request is not among the reports of a message after 100 newer ones. What a message leaves out is counted.

--- a/crates/balsamgate/tests/crash.rs
+++ b/crates/balsamgate/tests/crash.rs
@@ -6,9 +6,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use fleet::{Fleet, HOST, config, upstreams};
+use fleet::{Fleet, HOST, config, eventually, upstreams};
 use platform_standin::{
-    caller::{CONFIG_KEY, CallerRequest, Connection},
+    caller::{self, CONFIG_KEY, CallerRequest, Connection},
     store::Store,
     upstream::{Faults, Run, Upstream},
 };
@@ -87,10 +87,14 @@
 
     /// Sends the request once to `node`.
     async fn arrive(&self, node: usize, case: Case, id: &str) {
-        let once = case.path.starts_with("/once/");
+        self.arrive_at(node, case, id, case.path).await;
+    }
+
+    async fn arrive_at(&self, node: usize, case: Case, id: &str, path: &str) {
+        let once = path.starts_with("/once/");
         let request = CallerRequest {
             host: HOST.to_owned(),
-            path: case.path.to_owned(),
+            path: path.to_owned(),
             id: id.to_owned(),
             timeout: Duration::from_millis(1_500),
             body: if once { Bytes::from("x") } else { Bytes::new() },
@@ -136,6 +140,29 @@
         }
     }
 
+    /// Crashes half of the upstreams of all search pools while `requests` searches run there, each
+    /// of them sent once.
+    async fn run_outage(&self, requests: usize) {
+        let search = |u: &&Upstream| u.pool() != "single";
+        let slow = Faults { extra_latency: Duration::from_secs(1), ..Faults::default() };
+        self.upstreams.iter().filter(search).for_each(|u| u.set_faults(slow.clone()));
+        let searches = (0..requests).map(|n| async move {
+            let case = Case { path: "/search/innocent", ..CASE };
+            self.arrive_at(
+                n % self.fleet.nodes.len(),
+                case,
+                &format!("outage-{n}"),
+                &format!("/search/outage-{n}"),
+            )
+            .await;
+        });
+        let crash = async {
+            tokio::time::sleep(Duration::from_millis(150)).await;
+            self.upstreams.iter().filter(search).step_by(2).for_each(|u| u.crash(false));
+        };
+        tokio::join!(futures::future::join_all(searches), crash);
+    }
+
     fn runs(&self) -> Vec<Run> {
         self.upstreams.iter().flat_map(Upstream::runs).collect()
     }
@@ -229,3 +256,28 @@
 async fn a_search_that_only_some_of_its_pools_survive_is_refused() {
     check(Case { pool: Some("shard-1"), nodes: 1, ..CASE }).await;
 }
+
+/// A node that restarts has lost its reports and must get them back, even if an outage of many
+/// upstreams has added more reports than a message holds.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_restarted_node_refuses_the_request_after_an_outage_of_many_upstreams() {
+    let case = Case { path: "/once/crash", nodes: 3, ..CASE };
+    let mut testbed = Testbed::start(case).await;
+    for n in 0..2 {
+        testbed.arrive(n, case, &format!("early-{n}")).await;
+        let mut replaced = 0;
+        testbed.pause(case, Duration::from_millis(200), &mut replaced).await;
+    }
+    testbed.run_outage(100).await;
+    testbed.fleet.nodes[0].kill();
+    testbed.fleet.nodes[0].start();
+    let ready = testbed.fleet.nodes[0].ready();
+    eventually("the restarted node is ready", async || caller::is_ready(ready).await).await;
+    tokio::time::sleep(CONTACT).await;
+    for node in 0..case.nodes {
+        testbed.arrive(node, case, &format!("late-{node}")).await;
+    }
+    let late: Vec<Run> =
+        testbed.runs().into_iter().filter(|r| r.request_id.starts_with("late")).collect();
+    assert_eq!(late, [], "logs in {}", testbed.fleet.directory().display());
+}
--- a/crates/policy/src/membership.rs
+++ b/crates/policy/src/membership.rs
@@ -30,8 +30,9 @@
 pub const MAX_RECORDS: usize = 8;
 /// Maximum number of quarantine notices in one message.
 pub const MAX_NOTICES: usize = 8;
-/// Maximum number of crash reports in one message.
-pub const MAX_CRASH_REPORTS: usize = 8;
+/// Maximum number of crash reports in one message: all of them on an ordinary day. A receiver of
+/// as many fetches the others.
+pub const MAX_CRASH_REPORTS: usize = 32;
 /// Maximum number of departure notices in one message.
 pub const MAX_DEPARTURES: usize = 8;
 /// Number of nodes asked to probe a node that has not acknowledged a direct probe.
--- a/crates/policy/src/relay/crash_quarantine.rs
+++ b/crates/policy/src/relay/crash_quarantine.rs
@@ -152,8 +152,8 @@
         self.suspects.is_empty()
     }
 
-    /// Returns up to `limit` valid reports to send to other nodes, those on the newest
-    /// fingerprints first.
+    /// Returns up to `limit` valid reports to send to other nodes: those on quarantined requests
+    /// first, then those on the newest fingerprints.
     pub fn reports(&self, now: Instant, limit: usize) -> Vec<CrashReport> {
         let reports_on = |fingerprint: &u64| {
             let suspect = self.suspects.get(fingerprint).filter(|s| s.expires_at > now)?;
@@ -165,7 +165,11 @@
             };
             Some(suspect.arrivals.iter().map(report).collect::<Vec<_>>())
         };
-        self.order.iter().rev().filter_map(reports_on).flatten().take(limit).collect()
+        let is_quarantined = |f: &&u64| self.suspects.get(f).is_some_and(Suspect::is_quarantined);
+        let newest = || self.order.iter().rev();
+        let quarantined = newest().filter(is_quarantined);
+        let suspected = newest().filter(|f| !is_quarantined(f));
+        quarantined.chain(suspected).filter_map(reports_on).flatten().take(limit).collect()
     }
 
     /// Makes room for an entry of `fingerprint`: if the table is full, evicts the oldest entry, of
--- a/crates/policy/tests/relay_crash_quarantine.rs
+++ b/crates/policy/tests/relay_crash_quarantine.rs
@@ -5,8 +5,11 @@
 
 use std::time::{Duration, Instant};
 
-use policy::relay::crash_quarantine::{
-    CrashQuarantine, CrashReport, MAX_FINGERPRINTS, QUARANTINE_ARRIVALS, REPORT_TTL,
+use policy::{
+    membership::MAX_CRASH_REPORTS,
+    relay::crash_quarantine::{
+        CrashQuarantine, CrashReport, MAX_FINGERPRINTS, QUARANTINE_ARRIVALS, REPORT_TTL,
+    },
 };
 
 fn report(fingerprint: u64, arrival: u32) -> CrashReport {
@@ -114,3 +117,14 @@
     assert!(quarantine.is_quarantined(now, 7));
     assert!(quarantine.len(now) <= MAX_FINGERPRINTS + 1);
 }
+
+#[test]
+fn an_outage_of_upstreams_does_not_displace_a_quarantined_request_from_messages() {
+    let now = Instant::now();
+    let quarantine = quarantine_before_an_outage(now, 100);
+    let mut other = CrashQuarantine::new();
+    for report in quarantine.reports(now, MAX_CRASH_REPORTS) {
+        other.record(now, report);
+    }
+    assert!(other.is_quarantined(now, 7));
+}
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -4,7 +4,10 @@
 //! fingerprint and arrival, and a metric. The decisions are in
 //! [`policy::relay::crash_quarantine`].
 
-use std::time::Instant;
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::{Duration, Instant},
+};
 
 use base::id;
 use policy::{
@@ -17,7 +20,11 @@
     },
 };
 
-use crate::{log_limiter::LogKind, membership, node::Node, request_log};
+use crate::{log_limiter::LogKind, membership, node::Node, peer, request_log};
+
+/// Shortest time between two fetches of crash reports: about half the time within which all nodes
+/// are to know a report.
+const FETCH_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Why a report was dropped.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -141,7 +148,8 @@
         if quarantined {
             node.metrics.crash_quarantined.inc();
         }
-        if node.log_limiter.allows(now, LogKind::Crash) {
+        let kind = if quarantined { LogKind::RoutingState } else { LogKind::Crash };
+        if node.log_limiter.allows(now, kind) {
             let fingerprint = format_fingerprint(report.fingerprint);
             let arrival = format_arrival(report.arrival);
             let from = from.map(|f| f.to_string());
@@ -167,6 +175,36 @@
     membership::gossip_now(node);
 }
 
+/// Records the reports in a message of the peer `from`. Fetches all its reports if the message had
+/// no room for more.
+pub(crate) fn receive(node: &Arc<Node>, reports: &[CrashReport], from: id::Node) {
+    publish(node, reports, Some(from));
+    let now = node.now();
+    if reports.len() < MAX_CRASH_REPORTS || *node.next_report_fetch.lock() > now {
+        return;
+    }
+    *node.next_report_fetch.lock() = now + FETCH_INTERVAL;
+    tokio::spawn(fetch(node.clone(), from));
+}
+
+async fn fetch(node: Arc<Node>, from: id::Node) {
+    match peer::fetch_crash_reports(&node, from).await {
+        Ok(reports) => {
+            node.metrics.peer_calls.with_label_values(&["ok"]).inc();
+            if node.log_limiter.allows(node.now(), LogKind::Crash) {
+                tracing::info!(peer = %from, reports = reports.len(), "fetched crash reports");
+            }
+            publish(&node, &reports, Some(from));
+        }
+        Err(e) => {
+            node.metrics.peer_calls.with_label_values(&["failed"]).inc();
+            if node.log_limiter.allows(node.now(), LogKind::Peer) {
+                tracing::warn!(peer = %from, cause = %e, "failed to fetch crash reports");
+            }
+        }
+    }
+}
+
 /// Records that `count` reports were dropped, those on `fingerprint` if they concern one request.
 pub(crate) fn dropped(node: &Node, fingerprint: Option<u64>, count: usize, cause: DropCause) {
     let cause = cause.name();
@@ -198,8 +236,10 @@
         }
         (quarantine.reports(now, MAX_CRASH_REPORTS), quarantine.len(now))
     };
-    if known > reports.len() {
-        dropped(node, None, known - reports.len(), DropCause::MessageFull);
+    let left_out = known - reports.len();
+    let before = node.reports_left_out.swap(left_out, Ordering::Relaxed);
+    if left_out > before {
+        dropped(node, None, left_out - before, DropCause::MessageFull);
     }
     reports
 }
--- a/crates/relay/src/membership.rs
+++ b/crates/relay/src/membership.rs
@@ -117,7 +117,7 @@
         replies
     };
     send(node, replies);
-    crash::publish(node, &message.accusations, Some(message.sender.node));
+    crash::receive(node, &message.accusations, message.sender.node);
     let data_age = message.word_age_ms.map(|ms| Duration::from_millis(u64::from(ms)));
     let data_time = data_age.and_then(|age| node.now().checked_sub(age));
     let announced = PlatformState {
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -71,6 +71,10 @@
     pub(crate) crash_quarantine: Mutex<crash_quarantine::CrashQuarantine>,
     pub(crate) connections: connection::ConnectionPools,
     pub(crate) suspected_upstreams: SuspectedUpstreams,
+    /// Crash reports that the last message had no room for.
+    pub(crate) reports_left_out: AtomicUsize,
+    /// When crash reports may be fetched from a peer again.
+    pub(crate) next_report_fetch: Mutex<Instant>,
     pub(crate) membership: Mutex<Membership>,
     /// Records of the other nodes, sorted by node: a snapshot of `membership`.
     pub(crate) peers: ArcSwap<Vec<Record>>,
@@ -144,6 +148,8 @@
             crash_quarantine: Mutex::default(),
             connections: connection::ConnectionPools::new(),
             suspected_upstreams: SuspectedUpstreams::default(),
+            reports_left_out: AtomicUsize::new(0),
+            next_report_fetch: Mutex::new(now),
             membership: Mutex::new(membership),
             peers: ArcSwap::default(),
             peers_version: AtomicUsize::new(usize::MAX),
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -13,7 +13,7 @@
     unit::{Generation, Revision},
 };
 use futures::StreamExt;
-use policy::membership::Record;
+use policy::{membership::Record, relay::crash_quarantine::CrashReport};
 use tarpc::{
     client, context,
     server::{BaseChannel, Channel},
@@ -93,6 +93,15 @@
     Ok(client.members(context, hello(node)).await??)
 }
 
+/// Fetches all valid crash reports from `peer`.
+pub(crate) async fn fetch_crash_reports(
+    node: &Node,
+    peer: id::Node,
+) -> Result<Vec<CrashReport>, Error> {
+    let (client, context) = connect(peer).await?;
+    Ok(client.crash_reports(context, hello(node)).await??)
+}
+
 /// Serves calls from peers on `listener` until `cancel`.
 pub async fn serve(node: Arc<Node>, listener: TcpListener, cancel: CancellationToken) {
     let permits = Arc::new(Semaphore::new(MAX_CONNECTIONS));
@@ -157,4 +166,13 @@
         let membership = self.node.membership.lock();
         Ok(membership.records().chain([membership.own()]).cloned().collect())
     }
+
+    async fn crash_reports(
+        self,
+        _: context::Context,
+        hello: Hello,
+    ) -> Result<Vec<CrashReport>, Refusal> {
+        self.check(&hello)?;
+        Ok(self.node.crash_quarantine.lock().reports(self.node.now(), usize::MAX))
+    }
 }
--- a/crates/wire/src/feed.rs
+++ b/crates/wire/src/feed.rs
@@ -4,7 +4,10 @@
 //! configurations and registry changes from a peer.
 
 use base::unit::{Generation, Revision};
-use policy::{membership::Record, relay::registry::Event};
+use policy::{
+    membership::Record,
+    relay::{crash_quarantine::CrashReport, registry::Event},
+};
 use serde::{Deserialize, Serialize};
 
 use crate::peer::{Hello, Refusal};
@@ -42,4 +45,6 @@
     ) -> Result<PlatformUpdate, Refusal>;
     /// Returns all membership records, including the node's own.
     async fn members(hello: Hello) -> Result<Vec<Record>, Refusal>;
+    /// Returns all valid crash reports.
+    async fn crash_reports(hello: Hello) -> Result<Vec<CrashReport>, Refusal>;
 }
--- a/crates/wire/tests/heartbeat.rs
+++ b/crates/wire/tests/heartbeat.rs
@@ -5,7 +5,7 @@
 use policy::{
     adoption::Stamp,
     departure,
-    membership::{Kind, Message, Record, Status},
+    membership::{Kind, MAX_CRASH_REPORTS, Message, Record, Status},
     quarantine,
     relay::crash_quarantine,
 };
@@ -43,9 +43,9 @@
             crash_quarantine::CrashReport {
                 fingerprint,
                 arrival: u32::MAX,
-                remaining_ms: 1
+                remaining_ms: crash_quarantine::REPORT_TTL.as_millis() as u32,
             };
-            8
+            MAX_CRASH_REPORTS
         ],
         word_age_ms: Some(u32::MAX),
     }
