A request that crashes upstreams again is refused as long as it comes

Callers saw: upstreams ending again a minute after the request had been refused, for as long as its caller persisted. Cause: a report was valid for 60 s and nothing renewed it; after that the request had two more arrivals free, and one that came less often than each 60 s was never refused. A request that was reported by chance is refused for 60 s at most: nothing renews a first quarantine, and an arrival that its upstreams survive withdraws the reports.

--- a/crates/policy/tests/relay_crash_quarantine.rs
+++ b/crates/policy/tests/relay_crash_quarantine.rs
@@ -51,11 +51,11 @@
     let now = Instant::now();
     let mut quarantine = CrashQuarantine::new();
     quarantine.record(now, report(7, 1));
-    quarantine.clear_unconfirmed(7);
+    quarantine.clear_unconfirmed(now, 7);
     quarantine.record(now, report(7, 2));
     assert!(!quarantine.is_quarantined(now, 7));
     quarantine.record(now, report(7, 3));
-    quarantine.clear_unconfirmed(7);
+    quarantine.clear_unconfirmed(now, 7);
     assert!(quarantine.is_quarantined(now, 7));
 }
 
@@ -64,11 +64,11 @@
     let now = Instant::now();
     let mut quarantine = CrashQuarantine::new();
     quarantine.record(now, report(7, 1));
-    assert!(quarantine.clear_unconfirmed(7));
+    assert!(quarantine.clear_unconfirmed(now, 7));
     assert!(!quarantine.record(now, report(7, 1)).is_new());
     quarantine.record(now, report(7, 2));
     assert!(!quarantine.is_quarantined(now, 7));
-    assert!(!quarantine.clear_unconfirmed(8));
+    assert!(!quarantine.clear_unconfirmed(now, 8));
 }
 
 #[test]
@@ -128,3 +128,84 @@
     }
     assert!(other.is_quarantined(now, 7));
 }
+
+/// Plays a request that comes each `interval` for `time` and crashes an upstream each time that it
+/// is let through. Returns how often it was.
+fn play(
+    quarantine: &mut CrashQuarantine,
+    start: Instant,
+    interval: Duration,
+    time: Duration,
+) -> u32 {
+    let mut sent = 0;
+    let mut now = start;
+    while now < start + time {
+        quarantine.expire(now);
+        if !quarantine.refuse(now, 7) {
+            sent += 1;
+            let report = quarantine.report(now, 7, sent);
+            quarantine.record(now, report);
+        }
+        now += interval;
+    }
+    sent
+}
+
+#[test]
+fn a_request_that_crashes_upstreams_again_is_refused_as_long_as_it_comes() {
+    let check = |interval_s: u64| {
+        let start = Instant::now();
+        let mut quarantine = CrashQuarantine::new();
+        let (interval, day) = (Duration::from_secs(interval_s), Duration::from_secs(86_400));
+        let sent = play(&mut quarantine, start, interval, day);
+        // Three crashes are free, and three retries may come later.
+        assert!(sent <= 6, "each {interval_s} s: sent {sent} times in a day");
+    };
+    [1, 7, 30, 59, 90].into_iter().for_each(check);
+}
+
+#[test]
+fn an_innocent_request_is_refused_for_the_time_of_a_report_at_most() {
+    let start = Instant::now();
+    let mut quarantine = CrashQuarantine::new();
+    quarantine.record(start, report(7, 1));
+    quarantine.record(start, report(7, 2));
+    let mut now = start;
+    while quarantine.refuse(now, 7) {
+        now += Duration::from_secs(1);
+    }
+    assert!(now <= start + REPORT_TTL);
+    assert!(quarantine.clear_unconfirmed(now, 7), "its upstreams survive it");
+    quarantine.record(now, report(7, 3));
+    assert!(!quarantine.is_quarantined(now, 7));
+}
+
+#[test]
+fn a_renewed_quarantine_reaches_other_nodes_and_does_not_renew_itself() {
+    let start = Instant::now();
+    let (mut one, mut other) = (CrashQuarantine::new(), CrashQuarantine::new());
+    for arrival in 1..=3 {
+        let report = one.report(start, 7, arrival);
+        one.record(start, report);
+    }
+    let exchange = |now: Instant, one: &mut CrashQuarantine, other: &mut CrashQuarantine| {
+        let delay = Duration::from_millis(200);
+        for report in one.reports(now, 8) {
+            other.record(now + delay, report);
+        }
+        for report in other.reports(now + delay, 8) {
+            one.record(now + 2 * delay, report);
+        }
+    };
+    exchange(start, &mut one, &mut other);
+    let later = start + REPORT_TTL;
+    assert!(one.refuse(later, 7));
+    exchange(later, &mut one, &mut other);
+    let end = later + 2 * REPORT_TTL;
+    assert!(other.is_quarantined(end - Duration::from_secs(1), 7), "renewed by the refusal");
+    for second in 0..300 {
+        exchange(later + Duration::from_secs(second), &mut one, &mut other);
+    }
+    let forgotten = end + Duration::from_secs(2);
+    assert!(!one.is_quarantined(forgotten, 7) && !other.is_quarantined(forgotten, 7));
+}
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -13,7 +13,7 @@
 use policy::{
     membership::MAX_CRASH_REPORTS,
     relay::{
-        crash_quarantine::{self, Change, CrashReport, Recorded},
+        crash_quarantine::{Change, CrashReport, Recorded},
         crash_suspects::Suspect,
         registry::Entry,
         upstream::AttemptEnd,
@@ -25,6 +25,25 @@
 /// Shortest time between two fetches of crash reports: about half the time within which all nodes
 /// are to know a report.
 const FETCH_INTERVAL: Duration = Duration::from_secs(2);
+/// Time until the next fetch after one that brought nothing new.
+const IDLE_FETCH_INTERVAL: Duration = Duration::from_secs(10);
+/// Time without any message after which this node may have missed reports.
+const MAX_SILENCE: Duration = Duration::from_millis(1_500);
+
+/// When to fetch crash reports from a peer.
+#[derive(Debug)]
+pub(crate) struct FetchSchedule {
+    /// When the last message from a peer arrived.
+    last_message: Instant,
+    /// When the next fetch is allowed.
+    next: Instant,
+}
+
+impl FetchSchedule {
+    pub(crate) fn new(now: Instant) -> FetchSchedule {
+        FetchSchedule { last_message: now, next: now }
+    }
+}
 
 /// Why a report was dropped.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -115,19 +134,22 @@
             );
         }
     }
-    let reports_on = |s: &Suspect| {
-        let remaining_ms = crash_quarantine::REPORT_TTL.as_millis() as u32;
-        let fingerprint = s.fingerprint;
-        let report = move |arrival| CrashReport { fingerprint, arrival, remaining_ms };
-        s.arrival.record_crash().map(report)
+    let now = node.now();
+    let reports: Vec<CrashReport> = {
+        let quarantine = node.crash_quarantine.lock();
+        let report = |s: &Suspect, arrival| quarantine.report(now, s.fingerprint, arrival);
+        let reports_on = |s: &Suspect| {
+            let ids: Vec<u32> = s.arrival.record_crash().collect();
+            ids.into_iter().map(|id| report(s, id)).collect::<Vec<_>>()
+        };
+        suspects.iter().flat_map(reports_on).collect()
     };
-    let reports: Vec<CrashReport> = suspects.iter().flat_map(reports_on).collect();
     publish(node, &reports, None);
 }
 
-/// Records `reports` and gossips those that are new. `from` is the peer that sent them, `None` if
-/// they are this node's own.
-pub(crate) fn publish(node: &Node, reports: &[CrashReport], from: Option<id::Node>) {
+/// Records `reports` and gossips if any is new, which it returns. `from` is the peer that sent
+/// them, `None` if they are this node's own.
+fn publish(node: &Node, reports: &[CrashReport], from: Option<id::Node>) -> bool {
     let now = node.now();
     let origin = if from.is_some() { "peer" } else { "own" };
     let recorded: Vec<(CrashReport, Recorded)> = {
@@ -166,13 +188,14 @@
         }
     }
     if !any_new {
-        return;
+        return false;
     }
     if from.is_none() && node.log_limiter.allows(now, LogKind::Crash) {
         let fingerprints = format_fingerprints(reports);
         tracing::warn!(fingerprints, "requests accused of crashing an upstream");
     }
     membership::gossip_now(node);
+    true
 }
 
 /// Records the reports in a message of the peer `from`. Fetches all its reports if the message had
@@ -180,10 +203,18 @@
 pub(crate) fn receive(node: &Arc<Node>, reports: &[CrashReport], from: id::Node) {
     publish(node, reports, Some(from));
     let now = node.now();
-    if reports.len() < MAX_CRASH_REPORTS || *node.next_report_fetch.lock() > now {
-        return;
+    {
+        let mut schedule = node.report_fetches.lock();
+        let silence = now.saturating_duration_since(schedule.last_message);
+        schedule.last_message = now;
+        if silence > MAX_SILENCE {
+            schedule.next = now;
+        }
+        if reports.len() < MAX_CRASH_REPORTS || schedule.next > now {
+            return;
+        }
+        schedule.next = now + FETCH_INTERVAL;
     }
-    *node.next_report_fetch.lock() = now + FETCH_INTERVAL;
     tokio::spawn(fetch(node.clone(), from));
 }
 
@@ -194,7 +225,9 @@
             if node.log_limiter.allows(node.now(), LogKind::Crash) {
                 tracing::info!(peer = %from, reports = reports.len(), "fetched crash reports");
             }
-            publish(&node, &reports, Some(from));
+            if !publish(&node, &reports, Some(from)) {
+                node.report_fetches.lock().next = node.now() + IDLE_FETCH_INTERVAL;
+            }
         }
         Err(e) => {
             node.metrics.peer_calls.with_label_values(&["failed"]).inc();
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -110,7 +110,7 @@
         }
     };
     let fingerprint = fingerprint(&host, &head, &body);
-    if node.crash_quarantine.lock().is_quarantined(arrived, fingerprint) {
+    if node.crash_quarantine.lock().refuse(arrived, fingerprint) {
         let reason = Reason::Quarantined;
         request_log::quarantined(&node, &metadata.request_id, fingerprint);
         let delay = jittered(&node, retry_after::delay(reason));
@@ -349,7 +349,8 @@
     ) -> Response<Body> {
         let node = &self.node;
         let fingerprint = self.suspect.fingerprint;
-        if state.survived() && node.crash_quarantine.lock().clear_unconfirmed(fingerprint) {
+        let now = node.now();
+        if state.survived() && node.crash_quarantine.lock().clear_unconfirmed(now, fingerprint) {
             crash::dropped(node, Some(fingerprint), 1, crash::DropCause::Cleared);
         }
         match (completion, &self.route.target) {
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -30,7 +30,7 @@
 use tokio::sync::{Notify, Semaphore};
 
 use crate::{
-    connection,
+    connection, crash,
     crash_watch::SuspectedUpstreams,
     interface::{Codec, PlatformSource, PublishedConfig},
     log_limiter::LogLimiter,
@@ -73,8 +73,8 @@
     pub(crate) suspected_upstreams: SuspectedUpstreams,
     /// Crash reports that the last message had no room for.
     pub(crate) reports_left_out: AtomicUsize,
-    /// When crash reports may be fetched from a peer again.
-    pub(crate) next_report_fetch: Mutex<Instant>,
+    /// When to fetch crash reports from a peer.
+    pub(crate) report_fetches: Mutex<crash::FetchSchedule>,
     pub(crate) membership: Mutex<Membership>,
     /// Records of the other nodes, sorted by node: a snapshot of `membership`.
     pub(crate) peers: ArcSwap<Vec<Record>>,
@@ -149,7 +149,7 @@
             connections: connection::ConnectionPools::new(),
             suspected_upstreams: SuspectedUpstreams::default(),
             reports_left_out: AtomicUsize::new(0),
-            next_report_fetch: Mutex::new(now),
+            report_fetches: Mutex::new(crash::FetchSchedule::new(now)),
             membership: Mutex::new(membership),
             peers: ArcSwap::default(),
             peers_version: AtomicUsize::new(usize::MAX),
