--- a/crates/balsamgate/tests/crash.rs
+++ b/crates/balsamgate/tests/crash.rs
@@ -10,7 +10,7 @@
 use platform_standin::{
     caller::{self, CONFIG_KEY, CallerRequest, Connection},
     store::Store,
-    upstream::{Faults, Run, Upstream},
+    upstream::{Crash, Faults, Run, Upstream},
 };
 use tokio_util::sync::CancellationToken;
 
@@ -114,9 +114,9 @@
             let replaced = self.upstreams.iter().any(|u| {
                 u.address() == old.address()
                     && u.instance() != old.instance()
-                    && u.crashed_at() >= old.crashed_at()
+                    && u.crashed() >= old.crashed()
             });
-            if old.crashed_at().is_none() || replaced {
+            if old.crashed().is_none() || replaced {
                 continue;
             }
             *number += 1;
@@ -170,7 +170,7 @@
     /// Times of the crashes, the first one first.
     fn crashes(&self) -> Vec<Instant> {
         let mut crashes: Vec<Instant> =
-            self.upstreams.iter().filter_map(Upstream::crashed_at).collect();
+            self.upstreams.iter().filter_map(|u| u.crashed().map(|(at, _)| at)).collect();
         crashes.sort_unstable();
         crashes
     }
@@ -178,7 +178,8 @@
 
 fn faults(case: Case) -> Faults {
     let path = case.path.to_owned();
-    Faults { crashes_on_path: Some(path), crash_delay: case.crash_delay, ..Faults::default() }
+    let crashes = vec![Crash { path, delay: case.crash_delay }];
+    Faults { crashes, ..Faults::default() }
 }
 
 /// Sends the request to the nodes in turn: until it has crashed three upstreams or seems to be
@@ -214,7 +215,7 @@
     let sends = |id: &String| runs.iter().filter(|r| r.request_id == *id).count();
     let before: Vec<usize> = ids.iter().map(sends).collect();
     let after: Vec<usize> = late.iter().map(sends).collect();
-    let crashed = testbed.upstreams.iter().filter(|u| u.crashed_at().is_some()).count();
+    let crashed = testbed.upstreams.iter().filter(|u| u.crashed().is_some()).count();
     eprintln!("{case:?}: sends {before:?}, late {after:?}, {crashed} upstreams crashed");
     let late_sends: usize = after.iter().sum();
     assert!(
--- a/crates/balsamgate/tests/relay.rs
+++ b/crates/balsamgate/tests/relay.rs
@@ -10,7 +10,7 @@
 use platform_standin::{
     caller::{self, Answer, CONFIG_KEY, CallerRequest, Connection, RequestError, TOP_K},
     store::{Mode, Store},
-    upstream::{Faults, RECORD_BYTES, Run, Upstream, reply_records},
+    upstream::{Crash, Faults, RECORD_BYTES, Run, Upstream, reply_records},
 };
 use tokio_util::sync::CancellationToken;
 
@@ -195,7 +195,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_crashes_upstreams_is_refused_at_every_node() {
     let testbed = testbed(2).await;
-    let crash = Faults { crashes_on_path: Some("poison".into()), ..Faults::default() };
+    let crashes = vec![Crash { path: "poison".into(), delay: Duration::ZERO }];
+    let crash = Faults { crashes, ..Faults::default() };
     testbed.set_faults("single", &crash);
     // The pool has two upstreams; each of the two arrivals crashes one.
     let first = testbed
