Replies that never end are cut, counted, and leave room for others

A reply whose body does not end took up the memory for bodies of the whole node until it was 8 MiB long, so that ordinary replies were dropped; a head could grow to 408 KiB on each connection, outside of that limit; interim responses could go on until the deadline. None of it was counted. Cause: limits were set for each body, not for what all large ones take together, and none for a head. Change: a head with its interim responses has 64 KiB and 16 of those; bodies over 64 KiB share half of [limits] buffer; balsamgate_replies_cut_total counts by cause (head, interim, length, memory, time, broken). Such an attempt ends at once, so that another upstream can be asked.

--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -7,7 +7,7 @@
     collections::VecDeque,
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::{Duration, Instant},
 };
@@ -37,8 +37,15 @@
 
 /// Timeout for connecting: many times the latency to any upstream of a region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Size limit of a reply's head, with its interim responses.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Size limit of a reply's body: bounds memory, at many times an ordinary reply.
 const MAX_REPLY_BYTES: usize = 8 << 20;
+/// Largest number of interim responses before a reply.
+const MAX_INTERIM_RESPONSES: usize = 16;
+/// Size up to which a body may use all of the memory for bodies. Larger ones share half of it, so
+/// that bodies that do not end leave room for ordinary ones.
+const ORDINARY_REPLY_BYTES: usize = 64 << 10;
 /// Idle timeout of a connection if the upstream does not state one.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Upper bound of the idle timeout at a node that address lists do not name: its idle connections
@@ -192,6 +199,24 @@
     OutOfMemoryBudget,
 }
 
+/// Counts a reply as cut if it is dropped while its body is being received.
+struct BodyGuard<'a> {
+    node: &'a Node,
+    cause: &'static str,
+}
+
+impl BodyGuard<'_> {
+    fn received(self) {
+        std::mem::forget(self);
+    }
+}
+
+impl Drop for BodyGuard<'_> {
+    fn drop(&mut self) {
+        self.node.metrics.replies_cut.with_label_values(&[self.cause]).inc();
+    }
+}
+
 /// The message of an attempt and the conditions for sending it.
 #[derive(Debug)]
 pub struct AttemptRequest {
@@ -236,13 +261,25 @@
         }
         let AttemptRequest { mut request, request_id, suspect, .. } = message;
         node.codec.write_attempt(request.headers_mut(), &entry.instance, left);
+        let interim = limit_interim_responses(&mut request);
         let run = RunGuard::new(node.clone(), self.clone(), entry, suspect);
-        let response = match connection.sender.try_send_request(request).await {
+        let sent = tokio::select! {
+            biased;
+            sent = connection.sender.try_send_request(request) => sent,
+            () = interim.notified() => {
+                node.metrics.replies_cut.with_label_values(&["interim"]).inc();
+                return AttemptResult::failed(AttemptEnd::BadReply, "too many interim responses");
+            }
+        };
+        let response = match sent {
             Ok(response) => response,
             // hyper returns the message only if it has written nothing of it.
             Err(mut e) => {
                 let unsent = e.take_message().is_some();
                 let end = if unsent { AttemptEnd::NotSent } else { AttemptEnd::ConnectionLost };
+                if e.error().is_parse_too_large() {
+                    node.metrics.replies_cut.with_label_values(&["head"]).inc();
+                }
                 run.ended(end);
                 return AttemptResult::failed(end, error_chain(e.error()));
             }
@@ -387,7 +424,8 @@
     permit: ConnectionPermit,
 ) -> Result<Connection, ConnectError> {
     let stream = socket::connect(entry.address.0, CONNECT_TIMEOUT).await?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let (sender, connection) =
+        http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream)).await?;
     let closed_here = Arc::new(AtomicBool::new(false));
     let connections = permit.0.clone();
     let is_closed_here = closed_here.clone();
@@ -402,25 +440,45 @@
     Ok(Connection { sender, closed_here })
 }
 
+/// Returns what is notified if `request` gets more than [`MAX_INTERIM_RESPONSES`].
+fn limit_interim_responses(request: &mut Request<Full<Bytes>>) -> Arc<Notify> {
+    let exceeded = Arc::new(Notify::new());
+    let (notify, count) = (exceeded.clone(), AtomicUsize::new(0));
+    hyper::ext::on_informational(request, move |_| {
+        if count.fetch_add(1, Ordering::Relaxed) == MAX_INTERIM_RESPONSES {
+            notify.notify_one();
+        }
+    });
+    exceeded
+}
+
 /// Reads the body of a reply. It counts against the node's memory budget until the reservation is
 /// dropped.
 async fn read_body(node: &Node, mut body: Incoming) -> Result<(Bytes, Reservation), BodyError> {
+    let mut guard = BodyGuard { node, cause: "time" };
     let mut reservation = node.body_memory.try_reserve(0).ok_or(BodyError::OutOfMemoryBudget)?;
     let mut first: Option<Bytes> = None;
     let mut rest = BytesMut::new();
     while let Some(frame) = body.frame().await {
+        guard.cause = "broken";
         let Ok(data) = frame?.into_data() else { continue };
-        if first.as_ref().map_or(0, Bytes::len) + rest.len() + data.len() > MAX_REPLY_BYTES {
+        let size = first.as_ref().map_or(0, Bytes::len) + rest.len() + data.len();
+        guard.cause = "length";
+        if size > MAX_REPLY_BYTES {
             return Err(BodyError::TooLong);
         }
-        if !reservation.try_grow(data.len()) {
+        guard.cause = "memory";
+        let share = if size > ORDINARY_REPLY_BYTES { 0.5 } else { 1.0 };
+        if !reservation.try_grow_within(data.len(), share) {
             return Err(BodyError::OutOfMemoryBudget);
         }
+        guard.cause = "time";
         match &first {
             None => first = Some(data),
             Some(_) => rest.extend_from_slice(&data),
         }
     }
+    guard.received();
     let first = first.unwrap_or_default();
     if rest.is_empty() {
         return Ok((first, reservation));
--- a/crates/relay/src/memory.rs
+++ b/crates/relay/src/memory.rs
@@ -41,9 +41,15 @@
     /// Reserves `more` bytes. Returns `false` and reserves none if they exceed the budget;
     /// growing by zero always succeeds.
     pub fn try_grow(&mut self, more: usize) -> bool {
+        self.try_grow_within(more, 1.0)
+    }
+
+    /// Like [`Reservation::try_grow`], within the `share` of the budget, from 0 to 1.
+    pub fn try_grow_within(&mut self, more: usize, share: f64) -> bool {
         let MemoryBudget { limit, reserved } = &self.budget;
+        let limit = (*limit as f64 * share) as usize;
         let before = reserved.fetch_add(more, Ordering::Relaxed);
-        if more > 0 && before.saturating_add(more) > *limit {
+        if more > 0 && before.saturating_add(more) > limit {
             reserved.fetch_sub(more, Ordering::Relaxed);
             return false;
         }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -29,6 +29,8 @@
     pub second_attempts_denied: IntCounter,
     /// Pools missing from partial answers.
     pub pools_missing: IntCounter,
+    /// Replies that were not received in full, by cause.
+    pub replies_cut: IntCounterVec,
     /// Calls to the platform by result.
     pub platform_calls: IntCounterVec,
     /// Values published by the platform that were rejected.
@@ -101,6 +103,10 @@
                 let help = "Pools left out of merged answers";
                 register(&r, IntCounter::new("balsamgate_pools_missing_total", help))
             },
+            replies_cut: {
+                let help = "Replies that were not received in full";
+                counters(&r, "replies_cut_total", help, &["cause"])
+            },
             platform_calls: counters(&r, "platform_calls_total", "Platform calls", &["result"]),
             invalid_values: {
                 let help = "Values in the platform's service that were of no use";
