Gossip takes its locks in the order of the tick

Cause: gossip_now locked the random numbers before the membership, tick the other way round. Reports are published from more tasks now; on a runtime of several threads the two could wait for each other. Change: membership first. Result: found by reading; no run showed it, as a node has one thread.

--- a/crates/relay/src/membership.rs
+++ b/crates/relay/src/membership.rs
@@ -217,7 +217,11 @@
 /// Sends this node's state to some peers at once, without waiting for the next tick.
 pub(crate) fn gossip_now(node: &Node) {
     let piggyback = piggyback(node);
-    let messages = node.with_rng(|rng| node.membership.lock().gossip_now(&piggyback, rng));
+    let messages = {
+        // Locked before the random numbers, as in `tick`.
+        let mut membership = node.membership.lock();
+        node.with_rng(|rng| membership.gossip_now(&piggyback, rng))
+    };
     send(node, messages);
 }
 
