--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -131,10 +131,13 @@
             self.drop_entry(fingerprint);
         }
         if !self.entries.contains_key(&fingerprint) {
-            if self.entries.len() >= MAX_ENTRIES
-                && let Some(oldest) = self.insertion_order.front().copied()
-            {
-                self.drop_entry(oldest);
+            if self.entries.len() >= MAX_ENTRIES {
+                // Quarantined ones last: after an outage of upstreams the suspected ones are newer.
+                let quarantined = |f: &u64| self.entries.get(f).is_some_and(|e| e.quarantined);
+                let suspected = self.insertion_order.iter().find(|f| !quarantined(f));
+                if let Some(oldest) = suspected.or(self.insertion_order.front()).copied() {
+                    self.drop_entry(oldest);
+                }
             }
             self.insertion_order.push_back(fingerprint);
         }
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -68,3 +68,16 @@
     assert_eq!(table.notices(now, 8).len(), 8);
     assert!(table.notices(now + Duration::from_secs(61), 8).is_empty());
 }
+
+#[test]
+fn an_outage_of_upstreams_does_not_evict_a_quarantined_fingerprint() {
+    let now = Instant::now();
+    let mut table = QuarantineTable::new();
+    (0..2).for_each(|_| _ = table.record_loss(now, 7, 1, false));
+    assert!(table.is_quarantined(now, 7));
+    for fingerprint in 0..2 * MAX_ENTRIES as u64 {
+        table.record_loss(now, 1_000 + fingerprint, 1, false);
+    }
+    assert!(table.is_quarantined(now, 7));
+    assert_eq!(table.len(), 1);
+}
