Log lines that the writer drops are counted

Operators saw: a gap in the log and a metric at 0. Cause: balsamgate_log_dropped was registered and never set; found by looking for knowledge that is dropped without a count. Evidence: new test on a real process whose output nobody reads, before: 0 after 8,000 searches. After: above 0.

--- a/crates/balsamgate/src/observe.rs
+++ b/crates/balsamgate/src/observe.rs
@@ -9,7 +9,7 @@
 use opentelemetry_otlp::WithExportConfig;
 use opentelemetry_sdk::{Resource, propagation::TraceContextPropagator, trace::SdkTracerProvider};
 use simplelog::{ColorChoice, ConfigBuilder, LevelFilter, TermLogger, TerminalMode};
-use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
+use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::{Layer, filter, fmt, layer::SubscriberExt, util::SubscriberInitExt};
 
 /// Prefix of the statsd counters and name of the service in traces.
@@ -28,16 +28,17 @@
 const LOG_BUFFER_LINES: usize = 4_096;
 
 /// Starts the JSON log on standard output. Logging never blocks the caller. Dropping the returned
-/// guard flushes the buffered lines.
-pub(crate) fn start_json_log(level: &str) -> eyre::Result<WorkerGuard> {
+/// guard flushes the buffered lines; the counter has the lines that were dropped.
+pub(crate) fn start_json_log(level: &str) -> eyre::Result<(WorkerGuard, ErrorCounter)> {
     let level: LevelFilter = level.parse()?;
     let (writer, guard) = NonBlockingBuilder::default()
         .lossy(true)
         .buffered_lines_limit(LOG_BUFFER_LINES)
         .finish(std::io::stdout());
+    let dropped_lines = writer.error_counter();
     let lines = fmt::layer().json().flatten_event(true).with_target(false).with_writer(writer);
     tracing_subscriber::registry().with(lines.with_filter(tracing_level(level))).try_init()?;
-    Ok(guard)
+    Ok((guard, dropped_lines))
 }
 
 fn tracing_level(level: LevelFilter) -> filter::Targets {
--- a/crates/balsamgate/src/relay.rs
+++ b/crates/balsamgate/src/relay.rs
@@ -24,6 +24,7 @@
     signal::unix::{SignalKind, signal},
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
+use tracing_appender::non_blocking::ErrorCounter;
 
 use crate::observe;
 
@@ -51,9 +52,9 @@
 pub(crate) fn run(path: &Path) -> eyre::Result<()> {
     let settings = read(path)?;
     // Flushes the last log lines when dropped.
-    let _log_guard = observe::start_json_log(&settings.log_level)?;
+    let (_log_guard, dropped_lines) = observe::start_json_log(&settings.log_level)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(serve(path, settings))
+    runtime.block_on(serve(path, settings, dropped_lines))
 }
 
 fn listen(name: &str, address: std::net::SocketAddr) -> eyre::Result<TcpListener> {
@@ -61,7 +62,7 @@
         .wrap_err_with(|| format!("cannot listen on the {name} address {address}"))
 }
 
-async fn serve(path: &Path, settings: Settings) -> eyre::Result<()> {
+async fn serve(path: &Path, settings: Settings, dropped_lines: ErrorCounter) -> eyre::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let mut hangup = signal(SignalKind::hangup())?;
@@ -122,7 +123,12 @@
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
             _ = hangup.recv() => reload(&node, path, "signal"),
-            _ = poll.tick() => if file.has_changed() { reload(&node, path, "file changed") },
+            _ = poll.tick() => {
+                node.metrics.log_dropped.set(dropped_lines.dropped_lines() as i64);
+                if file.has_changed() {
+                    reload(&node, path, "file changed");
+                }
+            }
         }
     }
     tracing::info!(grace_ms = grace.as_millis() as u64, "stopping");
--- a/crates/balsamgate/tests/relay.rs
+++ b/crates/balsamgate/tests/relay.rs
@@ -454,3 +454,28 @@
         assert!(text.contains(part), "{part} not in {text}");
     }
 }
+
+/// Lines that the writer drops must be counted, or a gap in the log looks like silence.
+#[tokio::test(flavor = "multi_thread")]
+async fn log_lines_that_the_writer_drops_are_counted() {
+    /// More lines than the pipe and the writer's buffer hold.
+    const SEARCHES: usize = 8_000;
+    let testbed = testbed_with(1, true).await;
+    let searches = (0..SEARCHES).map(|n| {
+        let request = request("/search/x", &format!("unread-{n}"));
+        let testbed = &testbed;
+        async move { testbed.send(0, &request).await.is_ok() }
+    });
+    let answered = futures::StreamExt::buffer_unordered(futures::stream::iter(searches), 32);
+    let answered: Vec<bool> = futures::StreamExt::collect(answered).await;
+    assert_eq!(answered.len(), SEARCHES);
+    let ip = testbed.fleet.nodes[0].ip;
+    eventually("dropped lines are counted", async || {
+        let Ok(mut metrics) = Connection::connect((ip, 7105).into()).await else { return false };
+        let Ok(answer) = metrics.send(&request("/metrics", "m")).await else { return false };
+        let text = String::from_utf8_lossy(&answer.body).into_owned();
+        let line = text.lines().find(|l| l.starts_with("balsamgate_log_dropped "));
+        line.is_some_and(|l| !l.ends_with(" 0"))
+    })
+    .await;
+}
