--- a/crates/balsamctl/src/why.rs
+++ b/crates/balsamctl/src/why.rs
@@ -143,6 +143,9 @@
             {
                 "accusation".to_owned()
             }
+            "crash report recorded" if fingerprints.contains(&line.text("fingerprint")) => {
+                "crash report".to_owned()
+            }
             "this process was suspended; beliefs are refreshed"
                 if end.duration_since(line.at).unwrap_or_default() < SUSPENSION_WINDOW =>
             {
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -170,7 +170,7 @@
         if quarantined {
             node.metrics.crash_quarantined.inc();
         }
-        let kind = if quarantined { LogKind::RoutingState } else { LogKind::Crash };
+        let kind = if quarantined { LogKind::Quarantine } else { LogKind::Crash };
         if node.log_limiter.allows(now, kind) {
             let fingerprint = format_fingerprint(report.fingerprint);
             let arrival = format_arrival(report.arrival);
--- a/crates/relay/src/log_limiter.rs
+++ b/crates/relay/src/log_limiter.rs
@@ -23,16 +23,18 @@
     Attempt,
     /// A second attempt.
     SecondAttempt,
-    /// A change in the node's view of upstreams, routes or the crash quarantine.
+    /// A change in the node's view of upstreams or routes.
     RoutingState,
     /// A change in the node's view of its peers.
     Peer,
     /// A step from a lost connection to a crash report.
     Crash,
+    /// A request that is put into the crash quarantine.
+    Quarantine,
 }
 
 /// Values of the log field `kind`, in the order of the variants.
-const KINDS: [(LogKind, &str); 9] = [
+const KINDS: [(LogKind, &str); 10] = [
     (LogKind::Answered, "answered"),
     (LogKind::Partial, "partial"),
     (LogKind::Failed, "failed"),
@@ -42,6 +44,7 @@
     (LogKind::RoutingState, "belief"),
     (LogKind::Peer, "peer"),
     (LogKind::Crash, "crash"),
+    (LogKind::Quarantine, "quarantine"),
 ];
 /// Period to which the rate applies.
 const WINDOW: Duration = Duration::from_secs(1);
