A node that is cut off blames no request

Cause: an upstream that does not answer to a new connection counted as crashed, also if none did; a search in flight at such a node loses all its pools without a reply and so counts twice. Change: silence counts only if another upstream has replied to this node during the check; what is dropped so is counted (cut_off). A refused connection and a process in its place count as before.

--- a/crates/policy/src/relay/crash_suspects.rs
+++ b/crates/policy/src/relay/crash_suspects.rs
@@ -39,12 +39,22 @@
 /// How an upstream turned out to have crashed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Proof {
-    /// It accepts no new connection.
+    /// It refuses a new connection.
     Unreachable,
+    /// It does not answer to a new connection.
+    Silent,
     /// Another process has taken its place, at its address or under its id.
     Replaced,
 }
 
+impl Proof {
+    /// Returns whether the upstream has crashed, rather than this node being cut off from it.
+    /// `others_reply` is whether another upstream has replied to this node meanwhile.
+    pub fn is_crash(self, others_reply: bool) -> bool {
+        self != Proof::Silent || others_reply
+    }
+}
+
 /// Number of upstreams that may crash under one arrival before it is reported twice. Upstreams of
 /// several pools crash at the same time in an outage, but other pools then reply.
 pub const CONCLUSIVE_CRASHES: u32 = 3;
@@ -186,7 +196,7 @@
     /// running when it did.
     pub fn take(&mut self, now: Instant, proof: Proof) -> Vec<Suspect> {
         self.expire(now);
-        let alive_at = self.alive_at.filter(|_| proof == Proof::Unreachable);
+        let alive_at = self.alive_at.filter(|_| proof != Proof::Replaced);
         let ran = |e: &Entry| {
             let run = match e.exposure {
                 Exposure::Lost => CHECK_DELAY,
--- a/crates/policy/tests/relay_crash_suspects.rs
+++ b/crates/policy/tests/relay_crash_suspects.rs
@@ -101,6 +101,17 @@
     assert_eq!(next_check(true, true), None);
 }
 
+#[test]
+fn a_node_that_is_cut_off_blames_no_request() {
+    let check = |proof: Proof, others_reply: bool, crash: bool| {
+        assert_eq!(proof.is_crash(others_reply), crash, "{proof:?}, others reply: {others_reply}");
+    };
+    check(Proof::Silent, true, true);
+    check(Proof::Silent, false, false);
+    check(Proof::Unreachable, false, true);
+    check(Proof::Replaced, false, true);
+}
+
 #[test]
 fn suspects_are_bounded_and_the_oldest_is_dropped() {
     let now = Instant::now();
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -54,6 +54,8 @@
     TableFull,
     /// A message to a peer had no room for it.
     MessageFull,
+    /// No upstream replies to this node, so it may be cut off.
+    CutOff,
     /// It has expired.
     Expired,
     /// Upstreams have run the request without crashing since.
@@ -67,6 +69,7 @@
             DropCause::SuspectsFull => "suspects_full",
             DropCause::TableFull => "table_full",
             DropCause::MessageFull => "message_full",
+            DropCause::CutOff => "cut_off",
             DropCause::Expired => "expired",
             DropCause::Cleared => "cleared",
         }
@@ -113,7 +116,12 @@
     if node.log_limiter.allows(now, LogKind::Crash) {
         tracing::info!(%upstream, %address, result, suspects, cause, "crash check");
     }
-    if let Some(cause) = cause.filter(|_| node.log_limiter.allows(now, LogKind::Crash)) {
+}
+
+/// Records that an upstream accepts no new connection, for `cause`, and counts as crashed.
+pub(crate) fn unreachable(node: &Node, entry: &Entry, suspects: usize, cause: &str) {
+    if node.log_limiter.allows(node.now(), LogKind::Crash) {
+        let address = entry.address;
         tracing::warn!(
             %address, requests = suspects, cause,
             "upstream accepts no new connection; assuming that it crashed"
--- a/crates/relay/src/crash_watch.rs
+++ b/crates/relay/src/crash_watch.rs
@@ -168,9 +168,20 @@
             Err(e) => {
                 let timed_out = |e: &io::Error| e.kind() == io::ErrorKind::TimedOut;
                 let silent = matches!(&e, ConnectError::Socket(e) if timed_out(e));
-                let result = if silent { "silent" } else { "refused" };
-                crash::checked(&node, &entry, suspects, result, Some(&e.to_string()));
-                watch.report(&node, &entry, Proof::Unreachable);
+                let (proof, result) = match silent {
+                    true => (Proof::Silent, "silent"),
+                    false => (Proof::Unreachable, "refused"),
+                };
+                let cause = e.to_string();
+                crash::checked(&node, &entry, suspects, result, Some(&cause));
+                let others_reply = node.last_reply.lock().is_some_and(|at| at >= now);
+                if proof.is_crash(others_reply) {
+                    crash::unreachable(&node, &entry, suspects, &cause);
+                    watch.report(&node, &entry, proof);
+                } else {
+                    let suspects = watch.state.lock().suspects.take(node.now(), proof);
+                    crash::dropped(&node, None, suspects.len(), crash::DropCause::CutOff);
+                }
             }
         }
     }
@@ -201,11 +212,13 @@
         let Some(suspect) = self.suspect.take() else { return };
         let RunGuard { node, connections, entry, .. } = &self;
         match end {
-            AttemptEnd::Reply { .. } => {
-                suspect.arrival.record_reply();
+            AttemptEnd::Reply { .. } | AttemptEnd::Refused => {
+                if end != AttemptEnd::Refused {
+                    suspect.arrival.record_reply();
+                }
+                *node.last_reply.lock() = Some(node.now());
                 connections.crash_watch.record_alive(node);
             }
-            AttemptEnd::Refused => connections.crash_watch.record_alive(node),
             AttemptEnd::NotSent => {}
             AttemptEnd::InstanceReplaced => connections.crash_watch.record_replaced(node, entry),
             AttemptEnd::ConnectionLost | AttemptEnd::BadReply | AttemptEnd::NoReply => {
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -71,6 +71,8 @@
     pub(crate) crash_quarantine: Mutex<crash_quarantine::CrashQuarantine>,
     pub(crate) connections: connection::ConnectionPools,
     pub(crate) suspected_upstreams: SuspectedUpstreams,
+    /// When an upstream last replied to this node.
+    pub(crate) last_reply: Mutex<Option<Instant>>,
     /// Crash reports that the last message had no room for.
     pub(crate) reports_left_out: AtomicUsize,
     /// When to fetch crash reports from a peer.
@@ -148,6 +150,7 @@
             crash_quarantine: Mutex::default(),
             connections: connection::ConnectionPools::new(),
             suspected_upstreams: SuspectedUpstreams::default(),
+            last_reply: Mutex::default(),
             reports_left_out: AtomicUsize::new(0),
             report_fetches: Mutex::new(crash::FetchSchedule::new(now)),
             membership: Mutex::new(membership),
