An arrival withdraws only the reports on crashes that it has disproved

Cause: reports were withdrawn only by an arrival that every pool answered. While a pool has no upstream there is none, so chance reports add up, and a third one makes refusals renew the quarantine. To count any partial answer would let a request through that crashes the very pool that does not reply. Change: the id of a reported arrival names the pool that lost an upstream first (16 of its bits). An arrival under which nothing was lost or is still open withdraws the reports that name a pool that replied; one that all pools answered withdraws all, as before.

--- a/crates/policy/src/relay/crash_quarantine.rs
+++ b/crates/policy/src/relay/crash_quarantine.rs
@@ -203,14 +203,25 @@
         true
     }
 
-    /// Withdraws the reports on a request that all its upstreams have run without crashing. A
-    /// request that is quarantined stays so. Returns whether there were reports to withdraw.
-    pub fn clear_unconfirmed(&mut self, now: Instant, fingerprint: u64) -> bool {
+    /// Withdraws the reports on a request for those `survived` arrivals that it has turned out not
+    /// to have crashed upstreams under. A request that is quarantined stays so. Returns whether
+    /// there were reports to withdraw.
+    pub fn clear_unconfirmed(
+        &mut self,
+        now: Instant,
+        fingerprint: u64,
+        survived: impl Fn(u32) -> bool,
+    ) -> bool {
         let Some(suspect) = self.suspects.get_mut(&fingerprint) else { return false };
-        if suspect.arrivals.is_empty() || suspect.is_quarantined(now) {
+        if suspect.is_quarantined(now) {
+            return false;
+        }
+        let before = suspect.withdrawn.len();
+        let withdrawn = suspect.arrivals.extract_if(.., |arrival| survived(*arrival));
+        suspect.withdrawn.extend(withdrawn);
+        if suspect.withdrawn.len() == before {
             return false;
         }
-        suspect.withdrawn.append(&mut suspect.arrivals);
         let excess = suspect.withdrawn.len().saturating_sub(MAX_WITHDRAWN);
         suspect.withdrawn.drain(..excess);
         true
--- a/crates/policy/src/relay/crash_suspects.rs
+++ b/crates/policy/src/relay/crash_suspects.rs
@@ -13,6 +13,7 @@
     time::{Duration, Instant},
 };
 
+use base::{hash, id};
 use smol_str::SmolStr;
 
 /// Delay between the loss of a connection and the check whether the upstream accepts a new one:
@@ -60,23 +61,36 @@
 pub const CONCLUSIVE_CRASHES: u32 = 3;
 
 /// One arrival of a request, shared by its attempts.
+///
+/// Its id, by which nodes report it, consists of the tag of the pool that lost an upstream first,
+/// 15 random bits, and a bit that is set in a second report.
 #[derive(Debug)]
 pub struct Arrival {
-    id: u32,
+    id: AtomicU32,
     replied: AtomicBool,
     crashes: AtomicU32,
 }
 
+/// Returns the part of an arrival's id that names `pool`.
+fn pool_tag(pool: &id::Pool) -> u32 {
+    (hash::stable(&[pool.as_str().as_bytes()]) as u32) << 16
+}
+
+/// Returns whether `pool` lost an upstream under the reported `arrival`, the first if several did.
+pub fn names_pool(arrival: u32, pool: &id::Pool) -> bool {
+    arrival & 0xffff_0000 == pool_tag(pool)
+}
+
 impl Arrival {
-    /// Creates an arrival with the random id `id`, of which the lowest bit is not used.
-    pub fn new(id: u32) -> Arrival {
+    /// Creates an arrival with the random bits of `random`.
+    pub fn new(random: u32) -> Arrival {
         let (replied, crashes) = (AtomicBool::new(false), AtomicU32::new(0));
-        Arrival { id: id & !1, replied, crashes }
+        Arrival { id: AtomicU32::new(random & 0xfffe), replied, crashes }
     }
 
     /// Returns its id.
     pub fn id(&self) -> u32 {
-        self.id
+        self.id.load(Ordering::Relaxed)
     }
 
     /// Records that an upstream has replied to the request.
@@ -84,13 +98,17 @@
         self.replied.store(true, Ordering::Relaxed);
     }
 
-    /// Records that an upstream has crashed under the request. Returns the ids to report: a second
-    /// one if all upstreams that are known to have run the request have crashed, and they are
-    /// [`CONCLUSIVE_CRASHES`] or more.
-    pub fn record_crash(&self) -> impl Iterator<Item = u32> + use<> {
+    /// Records that an upstream of `pool` has crashed under the request. Returns the ids to
+    /// report: a second one if all upstreams that are known to have run the request have crashed,
+    /// and they are [`CONCLUSIVE_CRASHES`] or more.
+    pub fn record_crash(&self, pool: &id::Pool) -> impl Iterator<Item = u32> + use<> {
         let crashes = self.crashes.fetch_add(1, Ordering::Relaxed) + 1;
+        if crashes == 1 {
+            self.id.fetch_or(pool_tag(pool), Ordering::Relaxed);
+        }
         let conclusive = crashes >= CONCLUSIVE_CRASHES && !self.replied.load(Ordering::Relaxed);
-        [self.id].into_iter().chain(conclusive.then_some(self.id | 1))
+        let id = self.id();
+        [id].into_iter().chain(conclusive.then_some(id | 1))
     }
 }
 
--- a/crates/policy/src/relay/request.rs
+++ b/crates/policy/src/relay/request.rs
@@ -220,10 +220,15 @@
     }
 
     /// Returns whether every upstream that was sent the request has survived it, as far as this
-    /// node knows, and every pool has replied.
+    /// node knows. A pool without a reply may not have run it.
     pub fn survived(&self) -> bool {
-        let settled = |p: &PoolState| p.replied && p.in_flight == 0;
-        self.lost == 0 && self.pools.iter().all(settled)
+        self.lost == 0 && self.pools.iter().all(|p| p.in_flight == 0)
+    }
+
+    /// Returns the pools that have replied.
+    pub fn replied_pools(&self) -> impl Iterator<Item = &id::Pool> {
+        let replied = self.pools.iter().zip(&self.plan.pools).filter(|(p, _)| p.replied);
+        replied.map(|(_, pool)| pool)
     }
 
     /// Returns the pools that have not replied, each with the upstreams that were tried.
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -81,8 +81,9 @@
     format!("{fingerprint:016x}")
 }
 
+/// Formats the part of an arrival's id that does not change.
 fn format_arrival(arrival: u32) -> String {
-    format!("{arrival:08x}")
+    format!("{:04x}", arrival & 0xffff)
 }
 
 /// Records that an attempt of `suspect` ended by `end`, without a reply from the upstream that
@@ -147,7 +148,7 @@
         let quarantine = node.crash_quarantine.lock();
         let report = |s: &Suspect, arrival| quarantine.report(now, s.fingerprint, arrival);
         let reports_on = |s: &Suspect| {
-            let ids: Vec<u32> = s.arrival.record_crash().collect();
+            let ids: Vec<u32> = s.arrival.record_crash(&entry.pool).collect();
             ids.into_iter().map(|id| report(s, id)).collect::<Vec<_>>()
         };
         suspects.iter().flat_map(reports_on).collect()
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -15,7 +15,7 @@
 use policy::{
     outcome::{Fate, Reason},
     relay::{
-        crash_suspects::{Arrival, Suspect},
+        crash_suspects::{self, Arrival, Suspect},
         merge,
         pool::UpstreamHandle,
         request::{Completion, Plan, PlannedAttempt, RequestState},
@@ -349,8 +349,12 @@
     ) -> Response<Body> {
         let node = &self.node;
         let fingerprint = self.suspect.fingerprint;
-        let now = node.now();
-        if state.survived() && node.crash_quarantine.lock().clear_unconfirmed(now, fingerprint) {
+        let survived = |arrival| {
+            let complete = completion == Completion::Complete;
+            complete || state.replied_pools().any(|pool| crash_suspects::names_pool(arrival, pool))
+        };
+        let (now, quarantine) = (node.now(), &node.crash_quarantine);
+        if state.survived() && quarantine.lock().clear_unconfirmed(now, fingerprint, survived) {
             crash::dropped(node, Some(fingerprint), 1, crash::DropCause::Cleared);
         }
         match (completion, &self.route.target) {
