An arrival that crashes two upstreams in turn is conclusive

Callers saw: a request to one upstream, with a second attempt, crashes two upstreams an arrival and is refused after four; after a restart of all nodes it has two arrivals free again, up to four sends. Cause: only a search, with three pools lost, could be conclusive by itself. Evidence: new test on two real processes, before: after one arrival that crashed two upstreams no node refuses the request, for the 20 s that the test waits. Change: two crashes are enough if the second came under an attempt sent after the first was lost, and no upstream has replied. An upstream that had crashed already refuses the connection, so that an outage does not look like it.

--- a/crates/balsamgate/tests/crash.rs
+++ b/crates/balsamgate/tests/crash.rs
@@ -282,3 +282,22 @@
         testbed.runs().into_iter().filter(|r| r.request_id.starts_with("late")).collect();
     assert_eq!(late, [], "logs in {}", testbed.fleet.directory().display());
 }
+
+/// Two attempts of one arrival crash two upstreams, one after the other, which is enough to refuse
+/// the request before it has crashed the third.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crashes_two_upstreams_in_turn_is_refused() {
+    let case = Case { path: "/mark-1/crash", ..CASE };
+    let testbed = Testbed::start(case).await;
+    testbed.arrive(0, case, "first").await;
+    eventually("each node knows the request as quarantined", async || {
+        testbed.fleet.nodes.iter().all(|n| n.log_text().contains("\"quarantined\":true"))
+    })
+    .await;
+    for node in 0..case.nodes {
+        testbed.arrive(node, case, "again").await;
+    }
+    let runs = testbed.runs();
+    assert!(!runs.iter().any(|r| r.request_id == "again"), "{runs:?}");
+    assert_eq!(testbed.upstreams.iter().filter(|u| u.crashed().is_some()).count(), 2);
+}
--- a/crates/policy/src/relay/crash_suspects.rs
+++ b/crates/policy/src/relay/crash_suspects.rs
@@ -59,6 +59,8 @@
 /// Number of upstreams that may crash under one arrival before it is reported twice. Upstreams of
 /// several pools crash at the same time in an outage, but other pools then reply.
 pub const CONCLUSIVE_CRASHES: u32 = 3;
+/// The same if one of them crashed under an attempt that was sent after another one had been lost.
+pub const CONCLUSIVE_CRASHES_IN_TURN: u32 = 2;
 
 /// One arrival of a request, shared by its attempts.
 ///
@@ -69,6 +71,8 @@
     id: AtomicU32,
     replied: AtomicBool,
     crashes: AtomicU32,
+    /// Whether an upstream crashed under an attempt sent after a loss.
+    in_turn: AtomicBool,
 }
 
 /// Returns the part of an arrival's id that names `pool`.
@@ -84,8 +88,12 @@
 impl Arrival {
     /// Creates an arrival with the random bits of `random`.
     pub fn new(random: u32) -> Arrival {
-        let (replied, crashes) = (AtomicBool::new(false), AtomicU32::new(0));
-        Arrival { id: AtomicU32::new(random & 0xfffe), replied, crashes }
+        Arrival {
+            id: AtomicU32::new(random & 0xfffe),
+            replied: AtomicBool::new(false),
+            crashes: AtomicU32::new(0),
+            in_turn: AtomicBool::new(false),
+        }
     }
 
     /// Returns its id.
@@ -98,15 +106,22 @@
         self.replied.store(true, Ordering::Relaxed);
     }
 
-    /// Records that an upstream of `pool` has crashed under the request. Returns the ids to
-    /// report: a second one if all upstreams that are known to have run the request have crashed,
-    /// and they are [`CONCLUSIVE_CRASHES`] or more.
-    pub fn record_crash(&self, pool: &id::Pool) -> impl Iterator<Item = u32> + use<> {
+    /// Records that an upstream of `pool` has crashed under the request, perhaps `in_turn`: under
+    /// an attempt that was sent after another one had been lost. Returns the ids to report: a
+    /// second one if all upstreams that are known to have run the request have crashed, and they
+    /// are [`CONCLUSIVE_CRASHES`] or more, or [`CONCLUSIVE_CRASHES_IN_TURN`].
+    pub fn record_crash(
+        &self,
+        pool: &id::Pool,
+        in_turn: bool,
+    ) -> impl Iterator<Item = u32> + use<> {
         let crashes = self.crashes.fetch_add(1, Ordering::Relaxed) + 1;
         if crashes == 1 {
             self.id.fetch_or(pool_tag(pool), Ordering::Relaxed);
         }
-        let conclusive = crashes >= CONCLUSIVE_CRASHES && !self.replied.load(Ordering::Relaxed);
+        let in_turn = self.in_turn.fetch_or(in_turn, Ordering::Relaxed) || in_turn;
+        let enough = if in_turn { CONCLUSIVE_CRASHES_IN_TURN } else { CONCLUSIVE_CRASHES };
+        let conclusive = crashes >= enough && !self.replied.load(Ordering::Relaxed);
         let id = self.id();
         [id].into_iter().chain(conclusive.then_some(id | 1))
     }
@@ -121,6 +136,8 @@
     pub fingerprint: u64,
     /// The arrival that the upstream was running.
     pub arrival: Arc<Arrival>,
+    /// Whether the attempt was sent after another one of the arrival had been lost.
+    pub after_loss: bool,
 }
 
 #[derive(Debug)]
--- a/crates/policy/src/relay/request.rs
+++ b/crates/policy/src/relay/request.rs
@@ -78,6 +78,13 @@
     Ended(AttemptEnd),
 }
 
+impl Cause {
+    /// Returns whether the previous attempt may have crashed its upstream.
+    pub fn is_after_loss(self) -> bool {
+        matches!(self, Cause::Ended(AttemptEnd::ConnectionLost | AttemptEnd::BadReply))
+    }
+}
+
 /// An attempt to send now.
 #[derive(Debug, Clone)]
 pub struct PlannedAttempt {
--- a/crates/policy/tests/relay_crash_suspects.rs
+++ b/crates/policy/tests/relay_crash_suspects.rs
@@ -10,12 +10,17 @@
 
 use base::id;
 use policy::relay::crash_suspects::{
-    ABANDONED_RUN, Arrival, CHECK_DELAY, CONCLUSIVE_CRASHES, CrashSuspects, Exposure, MAX_SUSPECTS,
-    Proof, SUSPICION, Suspect, names_pool,
+    ABANDONED_RUN, Arrival, CHECK_DELAY, CONCLUSIVE_CRASHES, CONCLUSIVE_CRASHES_IN_TURN,
+    CrashSuspects, Exposure, MAX_SUSPECTS, Proof, SUSPICION, Suspect, names_pool,
 };
 
 fn suspect(fingerprint: u64) -> Suspect {
-    Suspect { request_id: "r".into(), fingerprint, arrival: Arc::new(Arrival::new(2)) }
+    Suspect {
+        request_id: "r".into(),
+        fingerprint,
+        arrival: Arc::new(Arrival::new(2)),
+        after_loss: false,
+    }
 }
 
 /// What happens at the upstream, in milliseconds after the attempt of the suspect has ended.
@@ -126,23 +131,25 @@
 }
 
 #[test]
-fn an_arrival_is_conclusive_if_three_upstreams_crashed_and_none_replied() {
+fn an_arrival_is_conclusive_if_all_upstreams_that_ran_it_crashed() {
     let pool = |name: &str| name.parse::<id::Pool>().expect("name");
-    let check = |crashes: u32, replied: bool, reports: &[u32]| {
+    let check = |crashes: u32, in_turn: bool, replied: bool, reports: &[u32]| {
         let arrival = Arrival::new(9);
         if replied {
             arrival.record_reply();
         }
-        let mut ids: Vec<u32> =
-            (0..crashes).flat_map(|n| arrival.record_crash(&pool(&format!("p{n}")))).collect();
+        let crash = |n: u32| arrival.record_crash(&pool(&format!("p{n}")), in_turn && n == 1);
+        let mut ids: Vec<u32> = (0..crashes).flat_map(crash).collect();
         ids.dedup();
         let random: Vec<u32> = ids.iter().map(|id| id & 0xffff).collect();
-        assert_eq!(random, reports, "{crashes} crashes, replied: {replied}");
+        assert_eq!(random, reports, "{crashes} crashes, in turn: {in_turn}, replied: {replied}");
         assert!(ids.iter().all(|id| names_pool(*id, &pool("p0"))), "the first pool is named");
         assert!(!ids.iter().any(|id| names_pool(*id, &pool("p1"))));
     };
-    check(1, false, &[8]);
-    check(CONCLUSIVE_CRASHES - 1, false, &[8]);
-    check(CONCLUSIVE_CRASHES, false, &[8, 9]);
-    check(10, true, &[8]);
+    check(1, false, false, &[8]);
+    check(CONCLUSIVE_CRASHES - 1, false, false, &[8]);
+    check(CONCLUSIVE_CRASHES, false, false, &[8, 9]);
+    check(CONCLUSIVE_CRASHES_IN_TURN, true, false, &[8, 9]);
+    check(CONCLUSIVE_CRASHES_IN_TURN, true, true, &[8]);
+    check(10, false, true, &[8]);
 }
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -148,7 +148,7 @@
         let quarantine = node.crash_quarantine.lock();
         let report = |s: &Suspect, arrival| quarantine.report(now, s.fingerprint, arrival);
         let reports_on = |s: &Suspect| {
-            let ids: Vec<u32> = s.arrival.record_crash(&entry.pool).collect();
+            let ids: Vec<u32> = s.arrival.record_crash(&entry.pool, s.after_loss).collect();
             ids.into_iter().map(|id| report(s, id)).collect::<Vec<_>>()
         };
         suspects.iter().flat_map(reports_on).collect()
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -130,6 +130,7 @@
         request_id: request_log::id_text(&metadata.request_id).into(),
         fingerprint,
         arrival: Arc::new(Arrival::new(node.random() as u32)),
+        after_loss: false,
     };
     let mut task = RequestTask {
         attempt_head: attempt_head(&head),
@@ -316,14 +317,14 @@
         planned: PlannedAttempt,
         deadline: Instant,
     ) -> BoxFuture<'static, FinishedAttempt> {
-        let PlannedAttempt { pool_index, choice, .. } = planned;
+        let PlannedAttempt { pool_index, choice, cause } = planned;
         let request = Request::from_parts(self.attempt_head.clone(), Full::new(self.body.clone()));
         let message = AttemptRequest {
             request,
             request_id: self.request_id.clone(),
             deadline,
             repeatable: self.route.repeatable,
-            suspect: self.suspect.clone(),
+            suspect: Suspect { after_loss: cause.is_after_loss(), ..self.suspect.clone() },
         };
         let instance = choice.entry.instance.clone();
         let node = self.node.clone();
