Tests of crashes and endless replies do not depend on how busy the machine is

Cause: on a busy machine a second attempt may be sent before the first is lost, and a caller may give up just before the node's answer. Change: the test in turn looks for an attempt that was sent after a loss; callers of endless replies wait longer than the routes, and all of them must be answered (nine in ten before).

--- a/crates/balsamgate/tests/crash.rs
+++ b/crates/balsamgate/tests/crash.rs
@@ -18,6 +18,9 @@
 const POOLS: usize = 5;
 /// Upstreams of each pool: more than the request may crash.
 const UPSTREAMS: usize = 12;
+/// Arrivals after which the request counts as refused, if it has not crashed that many upstreams.
+const MAX_EARLY_ARRIVALS: usize = 12;
+const LATE_ARRIVALS: usize = 8;
 /// Crash from which on the time to refuse the request everywhere runs.
 const LAST_FREE_CRASH: usize = 3;
 /// Time from that crash until every node must refuse the request.
@@ -85,12 +88,13 @@
         testbed
     }
 
-    /// Sends the request once to `node`.
+    /// Sends the request of `case` once to `node`.
     async fn arrive(&self, node: usize, case: Case, id: &str) {
-        self.arrive_at(node, case, id, case.path).await;
+        self.send(node, case.path, id, case.leaves_after).await;
     }
 
-    async fn arrive_at(&self, node: usize, case: Case, id: &str, path: &str) {
+    /// Sends a request once to `node`. The caller leaves after `leaves_after`, if that is set.
+    async fn send(&self, node: usize, path: &str, id: &str, leaves_after: Option<Duration>) {
         let once = path.starts_with("/once/");
         let request = CallerRequest {
             host: HOST.to_owned(),
@@ -102,7 +106,7 @@
         let Ok(mut connection) = Connection::connect(self.fleet.nodes[node].callers()).await else {
             return;
         };
-        let limit = case.leaves_after.unwrap_or(request.timeout);
+        let limit = leaves_after.unwrap_or(request.timeout);
         // What the caller gets does not matter here.
         let _ = tokio::time::timeout(limit, connection.send(&request)).await;
     }
@@ -147,14 +151,8 @@
         let slow = Faults { extra_latency: Duration::from_secs(1), ..Faults::default() };
         self.upstreams.iter().filter(search).for_each(|u| u.set_faults(slow.clone()));
         let searches = (0..requests).map(|n| async move {
-            let case = Case { path: "/search/innocent", ..CASE };
-            self.arrive_at(
-                n % self.fleet.nodes.len(),
-                case,
-                &format!("outage-{n}"),
-                &format!("/search/outage-{n}"),
-            )
-            .await;
+            let node = n % self.fleet.nodes.len();
+            self.send(node, &format!("/search/outage-{n}"), &format!("outage-{n}"), None).await;
         });
         let crash = async {
             tokio::time::sleep(Duration::from_millis(150)).await;
@@ -189,23 +187,19 @@
     let mut testbed = Testbed::start(case).await;
     let mut ids = Vec::new();
     let mut replaced = 0;
-    let mut arrival = 0;
-    let mut early = 0;
-    while early < 12 && testbed.crashes().len() < LAST_FREE_CRASH {
-        early += 1;
-        ids.push(format!("early-{arrival}"));
-        testbed.arrive(arrival % case.nodes, case, &format!("early-{arrival}")).await;
-        arrival += 1;
+    while ids.len() < MAX_EARLY_ARRIVALS && testbed.crashes().len() < LAST_FREE_CRASH {
+        let id = format!("early-{}", ids.len());
+        testbed.arrive(ids.len() % case.nodes, case, &id).await;
+        ids.push(id);
         testbed.pause(case, Duration::from_millis(400), &mut replaced).await;
     }
     let crashes = testbed.crashes();
     let last = crashes.iter().take(LAST_FREE_CRASH).next_back().expect("an upstream crashes");
     tokio::time::sleep_until((*last + CONTACT).into()).await;
     let mut late = Vec::new();
-    for _ in 0..8 {
-        let id = format!("late-{arrival}");
-        testbed.arrive(arrival % case.nodes, case, &id).await;
-        arrival += 1;
+    for n in 0..LATE_ARRIVALS {
+        let id = format!("late-{n}");
+        testbed.arrive(n % case.nodes, case, &id).await;
         // Long enough for the crash and its report.
         let pause = case.crash_delay + Duration::from_millis(150);
         testbed.pause(case, pause, &mut replaced).await;
@@ -287,17 +281,28 @@
 /// the request before it has crashed the third.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_crashes_two_upstreams_in_turn_is_refused() {
-    let case = Case { path: "/mark-1/crash", ..CASE };
-    let testbed = Testbed::start(case).await;
-    testbed.arrive(0, case, "first").await;
-    eventually("each node knows the request as quarantined", async || {
-        testbed.fleet.nodes.iter().all(|n| n.log_text().contains("\"quarantined\":true"))
-    })
-    .await;
-    for node in 0..case.nodes {
-        testbed.arrive(node, case, "again").await;
+    let testbed = Testbed::start(Case { path: "/mark-1/crash", ..CASE }).await;
+    // On a busy machine the second attempt may be sent before the first is lost, and then the two
+    // crashes are not one after the other.
+    for n in 0..UPSTREAMS / 2 {
+        let path = format!("/mark-1/crash-{n}");
+        testbed.send(0, &path, &format!("first-{n}"), None).await;
+        let log = testbed.fleet.nodes[0].log_text();
+        let mut lines = log.lines().filter(|l| l.contains(&format!("first-{n}")));
+        if !lines.any(|l| l.contains("\"cause\":\"ended\",\"ended\":\"lost\"")) {
+            continue;
+        }
+        eventually("each node knows the request as quarantined", async || {
+            testbed.fleet.nodes.iter().all(|n| n.log_text().contains("\"quarantined\":true"))
+        })
+        .await;
+        for node in 0..CASE.nodes {
+            testbed.send(node, &path, "again", None).await;
+        }
+        let runs = testbed.runs();
+        assert!(!runs.iter().any(|r| r.request_id == "again"), "{runs:?}");
+        assert_eq!(runs.iter().filter(|r| r.request_id == format!("first-{n}")).count(), 2);
+        return;
     }
-    let runs = testbed.runs();
-    assert!(!runs.iter().any(|r| r.request_id == "again"), "{runs:?}");
-    assert_eq!(testbed.upstreams.iter().filter(|u| u.crashed().is_some()).count(), 2);
+    panic!("no second attempt was sent after a loss");
 }
--- a/crates/balsamgate/tests/endless.rs
+++ b/crates/balsamgate/tests/endless.rs
@@ -31,7 +31,8 @@
         host: HOST.to_owned(),
         path: path.to_owned(),
         id: id.to_owned(),
-        timeout: Duration::from_millis(1_500),
+        // Longer than the routes': the node's limits decide.
+        timeout: Duration::from_secs(10),
         body: if path.starts_with("/once/") { Bytes::from("x") } else { Bytes::new() },
     };
     Connection::connect(fleet.nodes[0].callers()).await?.send(&request).await
@@ -95,9 +96,7 @@
         .map(|a| a.as_ref().map_or_else(|e| format!("{e:?}"), |a| a.status.to_string()))
         .collect();
     assert!(endless.iter().any(|u| u.requests() > 0), "{kind:?}: no request got there");
-    // Callers wait as long as the node; a few may give up just before its answer.
-    let answered = answers.iter().filter(|a| a.is_ok()).count();
-    assert!(answered * 10 >= REQUESTS * 9, "{kind:?}: {outcomes:?}");
+    assert!(answers.iter().all(Result::is_ok), "{kind:?}: {outcomes:?}");
     let served = answers.iter().filter(|a| a.as_ref().is_ok_and(|a| a.status == 200)).count();
     assert!(served * 2 >= REQUESTS, "{kind:?}: {outcomes:?}");
     eventually("the connections of endless replies are closed", async || {
