An upstream that ends the connection of each check is not checked each time

Cause: an upstream beyond its connection limit ends new connections. While it had suspects, the end of a check's connection was a sign of a crash, and so the cause of the next check, each 50 ms for 3 s at each node. Change: after a check that found the upstream alive, a sign or an abandoned attempt causes the next one 500 ms later at the earliest; each loss still has its own.

--- a/crates/policy/src/relay/crash_suspects.rs
+++ b/crates/policy/src/relay/crash_suspects.rs
@@ -19,6 +19,9 @@
 /// Delay between the loss of a connection and the check whether the upstream accepts a new one:
 /// a crash takes only a moment, but a restart takes longer.
 pub const CHECK_DELAY: Duration = Duration::from_millis(50);
+/// Shortest time from a check that found the upstream alive to the next one that a sign of a crash
+/// causes: an upstream that is at its connection limit ends the connection of each check.
+pub const RECHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Time for which an upstream may go on with a request after its connection was closed.
 pub const ABANDONED_RUN: Duration = Duration::from_secs(1);
 /// Time for which a request is suspected. With the check and the reports that follow, less than
@@ -157,6 +160,8 @@
     entries: Vec<Entry>,
     /// When the upstream was last seen alive.
     alive_at: Option<Instant>,
+    /// When it last accepted a connection that was opened to check it.
+    checked_at: Option<Instant>,
 }
 
 impl CrashSuspects {
@@ -187,11 +192,11 @@
         self.expire(now);
         let full = self.entries.len() >= MAX_SUSPECTS;
         let dropped = full.then(|| self.entries.remove(0).suspect);
-        let delay = match exposure {
-            Exposure::Abandoned if connected => ABANDONED_RUN,
-            _ => CHECK_DELAY,
+        let check_at = match exposure {
+            Exposure::Lost => Some(now + CHECK_DELAY),
+            Exposure::Abandoned if connected => Some(now + ABANDONED_RUN),
+            Exposure::Abandoned => Some(self.next_recheck(now)),
         };
-        let check_at = Some(now + delay);
         self.entries.push(Entry { suspect, exposure, since: now, check_at, sign: false });
         dropped
     }
@@ -201,7 +206,19 @@
         self.entries.iter().filter_map(|e| e.check_at).min()
     }
 
-    /// Records that the upstream replied or accepted a connection. Requests that it must have
+    /// Returns when to check the upstream for a reason that may occur often.
+    fn next_recheck(&self, now: Instant) -> Instant {
+        let soon = now + CHECK_DELAY;
+        self.checked_at.map_or(soon, |at| soon.max(at + RECHECK_INTERVAL))
+    }
+
+    /// Records that the upstream accepted a connection that was opened to check it.
+    pub fn record_check(&mut self, now: Instant) {
+        self.checked_at = Some(now);
+        self.record_alive(now);
+    }
+
+    /// Records that the upstream replied. Requests that it must have
     /// finished by then are no longer suspected.
     pub fn record_alive(&mut self, now: Instant) {
         self.alive_at = Some(now);
@@ -220,7 +237,7 @@
     /// one. It is then checked again.
     pub fn record_sign(&mut self, now: Instant) {
         self.expire(now);
-        let check_at = now + CHECK_DELAY;
+        let check_at = self.next_recheck(now);
         for entry in &mut self.entries {
             entry.check_at = Some(entry.check_at.map_or(check_at, |at| at.min(check_at)));
             entry.sign = true;
--- a/crates/policy/tests/relay_crash_suspects.rs
+++ b/crates/policy/tests/relay_crash_suspects.rs
@@ -11,7 +11,7 @@
 use base::id;
 use policy::relay::crash_suspects::{
     ABANDONED_RUN, Arrival, CHECK_DELAY, CONCLUSIVE_CRASHES, CONCLUSIVE_CRASHES_IN_TURN,
-    CrashSuspects, Exposure, MAX_SUSPECTS, Proof, SUSPICION, Suspect, names_pool,
+    CrashSuspects, Exposure, MAX_SUSPECTS, Proof, RECHECK_INTERVAL, SUSPICION, Suspect, names_pool,
 };
 
 fn suspect(fingerprint: u64) -> Suspect {
@@ -86,11 +86,29 @@
     assert_eq!(suspects.next_check(), Some(now + CHECK_DELAY));
     suspects.record_alive(now + CHECK_DELAY);
     assert_eq!(suspects.next_check(), None);
-    let later = now + Duration::from_millis(400);
+    let later = now + CHECK_DELAY + RECHECK_INTERVAL;
     suspects.record_sign(later);
     assert_eq!(suspects.next_check(), Some(later + CHECK_DELAY));
 }
 
+#[test]
+fn an_upstream_that_ends_each_connection_is_not_checked_each_time() {
+    let start = Instant::now();
+    let mut suspects = CrashSuspects::new();
+    suspects.add(start, suspect(1), Exposure::Lost, true);
+    let (mut now, mut checks) = (start, 0);
+    while now < start + SUSPICION {
+        if suspects.next_check().is_some_and(|at| at <= now) {
+            checks += 1;
+            suspects.record_check(now);
+            // It accepts the connection and ends it, as beyond its limit.
+            suspects.record_sign(now + Duration::from_millis(1));
+        }
+        now += Duration::from_millis(5);
+    }
+    assert!(checks <= SUSPICION.div_duration_f64(RECHECK_INTERVAL) as u32 + 1, "{checks} checks");
+}
+
 #[test]
 fn an_abandoned_request_costs_no_connection_while_another_one_is_open() {
     let now = Instant::now();
--- a/crates/relay/src/crash_watch.rs
+++ b/crates/relay/src/crash_watch.rs
@@ -163,7 +163,7 @@
         match connections.accepts_connection(&node, &entry).await {
             Ok(()) => {
                 crash::checked(&node, &entry, suspects, "accepted", None);
-                watch.record_alive(&node);
+                watch.state.lock().suspects.record_check(node.now());
             }
             Err(e) => {
                 let timed_out = |e: &io::Error| e.kind() == io::ErrorKind::TimedOut;
