Test fleets that run at once have addresses of their own

Cause: a test process had 16 addresses for fleets, and relay starts 17 since. While the first fleet ran, the node of the last could not listen, and its test talked to the node of another test and read an empty log. New test of the fixture before: 16 addresses for 20 fleets. Change: a fleet reserves its loopback subnet by a listener, also against test processes beside it; a node that has exited fails the wait for readiness at once.

--- a/crates/balsamgate/benches/cost.rs
+++ b/crates/balsamgate/benches/cost.rs
@@ -92,7 +92,7 @@
     store.put(CONFIG_KEY, config(1, POOLS).to_json().as_bytes());
     let upstreams = upstreams(&store, POOLS, 2).await;
     let address = store.address();
-    let fleet = Fleet::start_program(variant.program.clone(), 1, address, variant.log, false);
+    let mut fleet = Fleet::start_program(variant.program.clone(), 1, address, variant.log, false);
     fleet.ready().await;
     (fleet, upstreams, cancel)
 }
--- a/crates/balsamgate/tests/crash.rs
+++ b/crates/balsamgate/tests/crash.rs
@@ -80,7 +80,7 @@
         let store = Store::start(cancel.clone()).await.expect("a store");
         store.put(CONFIG_KEY, config(1, POOLS).to_json().as_bytes());
         let upstreams = upstreams(&store, POOLS, UPSTREAMS).await;
-        let fleet = Fleet::start(case.nodes as u8, store.address());
+        let mut fleet = Fleet::start(case.nodes as u8, store.address());
         fleet.ready().await;
         let testbed = Testbed { store, upstreams, fleet, cancel };
         let crashes = |u: &&Upstream| case.pool.is_none_or(|pool| u.pool() == pool);
--- a/crates/balsamgate/tests/endless.rs
+++ b/crates/balsamgate/tests/endless.rs
@@ -80,8 +80,9 @@
             start("single".to_owned(), "i-endless-1").await.expect("an upstream"),
         ]
     };
-    let fleet = Arc::new(Fleet::start(1, store.address()));
+    let mut fleet = Fleet::start(1, store.address());
     fleet.ready().await;
+    let fleet = Arc::new(fleet);
     let before = peak_kib(&fleet);
     let requests = (0..REQUESTS).map(|n| {
         let fleet = fleet.clone();
--- a/crates/balsamgate/tests/fleet/mod.rs
+++ b/crates/balsamgate/tests/fleet/mod.rs
@@ -6,7 +6,7 @@
 
 use std::{
     fs::File,
-    net::{IpAddr, Ipv4Addr, SocketAddr},
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::atomic::{AtomicU32, Ordering},
@@ -77,6 +77,11 @@
         self.child.as_ref().map(Child::id)
     }
 
+    fn is_running(&mut self) -> bool {
+        let Some(child) = &mut self.child else { return false };
+        child.try_wait().expect("a child of this process").is_none()
+    }
+
     /// Sends a signal such as `-TERM` to the process.
     pub(crate) fn signal(&self, name: &str) {
         let Some(child) = &self.child else { return };
@@ -119,11 +124,37 @@
     }
 }
 
+/// Loopback addresses that no other fleet uses, also of test processes that run beside this one.
+#[derive(Debug)]
+struct Subnet {
+    prefix: [u8; 3],
+    /// Holds the subnet's last address while the fleet exists.
+    _reservation: TcpListener,
+}
+
+impl Subnet {
+    fn reserve() -> Subnet {
+        loop {
+            let prefix = [127, rand::random_range(10..250), rand::random_range(0..=255)];
+            let [a, b, c] = prefix;
+            if let Ok(reservation) = TcpListener::bind((Ipv4Addr::new(a, b, c, 254), 7100)) {
+                return Subnet { prefix, _reservation: reservation };
+            }
+        }
+    }
+
+    fn node(&self, n: u8) -> IpAddr {
+        let [a, b, c] = self.prefix;
+        Ipv4Addr::new(a, b, c, n + 1).into()
+    }
+}
+
 /// Nodes and the directory with their settings and logs.
 #[derive(Debug)]
 pub(crate) struct Fleet {
     pub(crate) nodes: Vec<Process>,
     directory: PathBuf,
+    _subnet: Subnet,
 }
 
 impl Drop for Fleet {
@@ -164,13 +195,12 @@
         let process = std::process::id();
         let directory = std::env::temp_dir().join(format!("balsamgate-{process}-{number}"));
         std::fs::create_dir_all(&directory).expect("temporary directory");
-        // Each fleet gets loopback addresses of its own, as tests run in parallel.
-        let (high, low) = (10 + (process % 200) as u8, (process / 200 % 16) as u8);
-        let ip = |n: u8| IpAddr::V4(Ipv4Addr::new(127, high, low * 16 + number as u8 % 16, n + 1));
-        let seeds = (0..count.min(3)).map(|n| format!("{}:7104", ip(n))).collect::<Vec<_>>();
+        let subnet = Subnet::reserve();
+        let seeds = (0..count.min(3)).map(|n| format!("{}:7104", subnet.node(n)));
+        let seeds = seeds.collect::<Vec<_>>();
         let node = |n: u8| {
             let settings = directory.join(format!("node-{n}.ini"));
-            let (ip, zone) = (ip(n), ZONES[usize::from(n) % ZONES.len()]);
+            let (ip, zone) = (subnet.node(n), ZONES[usize::from(n) % ZONES.len()]);
             let text = format!(
                 "[node]\ndeployment = test\nfailure_domain = {zone}\n\
                  [listen]\ncallers = {ip}:7101\nready = {ip}:7102\ndirectory = {ip}:7103\n\
@@ -190,14 +220,16 @@
             process.start();
             process
         };
-        Fleet { nodes: (0..count).map(node).collect(), directory }
+        Fleet { nodes: (0..count).map(node).collect(), directory, _subnet: subnet }
     }
 
     /// Waits until all nodes report that they are ready.
-    pub(crate) async fn ready(&self) {
-        for node in &self.nodes {
+    pub(crate) async fn ready(&mut self) {
+        for node in &mut self.nodes {
             let ready = node.ready();
             eventually("a node is ready", async || caller::is_ready(ready).await).await;
+            // Another process may have answered at the address of a node that could not start.
+            assert!(node.is_running(), "a node has exited: {}", node.log_text());
         }
     }
 
--- a/crates/balsamgate/tests/relay.rs
+++ b/crates/balsamgate/tests/relay.rs
@@ -3,7 +3,7 @@
 
 mod fleet;
 
-use std::time::Duration;
+use std::{collections::HashSet, time::Duration};
 
 use bytes::Bytes;
 use fleet::{Fleet, HOST, config, eventually, upstreams};
@@ -42,7 +42,7 @@
     let store = Store::start(cancel.clone()).await.expect("a store");
     store.put(CONFIG_KEY, config(1, POOLS).to_json().as_bytes());
     let upstreams = upstreams(&store, POOLS, 2).await;
-    let fleet = Fleet::start_with(nodes, store.address(), unread_stdout);
+    let mut fleet = Fleet::start_with(nodes, store.address(), unread_stdout);
     fleet.ready().await;
     Testbed { store, upstreams, fleet, cancel }
 }
@@ -479,3 +479,11 @@
     })
     .await;
 }
+
+/// A node that finds its address taken would leave its test to a node of another test.
+#[test]
+fn fleets_that_run_at_once_share_no_address() {
+    let fleets: Vec<Fleet> = (0..20).map(|_| Fleet::start(1, ([127, 0, 0, 1], 1).into())).collect();
+    let addresses: HashSet<_> = fleets.iter().map(|f| f.nodes[0].ip).collect();
+    assert_eq!(addresses.len(), fleets.len());
+}
--- a/crates/balsamgate/tests/soak.rs
+++ b/crates/balsamgate/tests/soak.rs
@@ -376,7 +376,7 @@
             upstreams.push(start_upstream(&store, &name, n).await);
         }
     }
-    let fleet = Fleet::start(nodes, store_proxy.address());
+    let mut fleet = Fleet::start(nodes, store_proxy.address());
     fleet.ready().await;
     let directories: Vec<SocketAddr> = fleet.nodes.iter().map(|n| n.directory()).collect();
     let world = Arc::new(World {
