A node may advertise another peer address than it listens on

Operators saw: a node behind translated addresses or ports could not join, as its listen address was its id. Cause: [listen] peers was both. Tests could not cut links between nodes either, as nothing can stand between them. Change: [fleet] advertise, [listen] peers by default; it is the node's id and gives the port of the seeds.

--- a/crates/config/src/relay.rs
+++ b/crates/config/src/relay.rs
@@ -24,8 +24,11 @@
     pub readiness_addr: SocketAddr,
     /// Address at which callers look up which nodes to use.
     pub directory_addr: SocketAddr,
-    /// Address that other nodes connect to; TCP for requests, UDP for heartbeats.
+    /// Address that the node listens on for other nodes; TCP for requests, UDP for heartbeats.
     pub peer_addr: SocketAddr,
+    /// Address at which other nodes reach this one. Differs from `peer_addr` if addresses or
+    /// ports are translated on the way.
+    pub advertised_addr: SocketAddr,
     /// Address that serves metrics, if they are served.
     pub metrics_addr: Option<SocketAddr>,
     /// Nodes to contact first to find the others. Only the IP counts, so any address of a node
@@ -75,6 +78,7 @@
     "[listen] directory", "IP:port", "", "Address at which callers look up which nodes to use";
     "[listen] peers", "IP:port", "", "Address that other nodes connect to, TCP and UDP";
     "[listen] metrics", "IP:port", "(none)", "Address that serves metrics";
+    "[fleet] advertise", "IP:port", "[listen] peers", "Address at which other nodes reach this one, if it listens on another";
     "[fleet] seeds", "IP:port separated by commas", "(none)", "Nodes to contact first to find the others; only the IP counts";
     "[platform] address", "IP:port", "", "Address of the platform's service";
     "[addresses] validity", "1 s to 5 min", "1 s", "Time for which callers may cache an address answer";
@@ -113,7 +117,9 @@
         let mut fleet = f.take_one("fleet", false);
         let list = "IP:port separated by commas";
         let seeds = fleet.take(f, "seeds", list, Some(Vec::new()), parse_addresses);
-        fleet.finish(f, "seeds");
+        let advertised =
+            fleet.take(f, "advertise", addr, Some(peers), |v| v.parse().ok().map(Some));
+        fleet.finish(f, "advertise, seeds");
 
         let mut platform = f.take_one("platform", true);
         let platform_addr = platform.take(f, "address", addr, None, |v| v.parse().ok());
@@ -160,6 +166,7 @@
                 readiness_addr: ready?,
                 directory_addr: directory?,
                 peer_addr: peers?,
+                advertised_addr: advertised??,
                 metrics_addr: metrics?,
                 seeds: seeds?,
                 platform_addr: platform_addr?,
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -124,7 +124,7 @@
         let bound = retry_bound(&settings);
         let domain = SmolStr::new(settings.domain.as_str());
         let own = Record {
-            node: id::Node(settings.peer_addr),
+            node: id::Node(settings.advertised_addr),
             incarnation,
             counter: 0,
             status: policy::membership::Status::Alive,
@@ -272,6 +272,6 @@
 
 /// Returns the nodes to contact for the membership. All nodes use the same port for their peers.
 fn seeds(settings: &Settings) -> Vec<id::Node> {
-    let port = settings.peer_addr.port();
+    let port = settings.advertised_addr.port();
     settings.seeds.iter().map(|s| id::Node(SocketAddr::new(s.ip(), port))).collect()
 }
