Tests cut a node off from the others and hold it to the bound afterwards

Change: a linked fleet advertises addresses at which the test forwards datagrams and calls, or drops them. Two tests: the others have reported the request, then an outage of 100 newer suspects, the cut ends; and the cut-off node has reported it. Both also check that the request was unknown across the cut.

--- a/crates/balsamgate/tests/crash.rs
+++ b/crates/balsamgate/tests/crash.rs
@@ -80,7 +80,7 @@
         let store = Store::start(cancel.clone()).await.expect("a store");
         store.put(CONFIG_KEY, config(1, POOLS).to_json().as_bytes());
         let upstreams = upstreams(&store, POOLS, UPSTREAMS).await;
-        let mut fleet = Fleet::start(case.nodes as u8, store.address());
+        let mut fleet = Fleet::start_linked(case.nodes as u8, store.address());
         fleet.ready().await;
         let testbed = Testbed { store, upstreams, fleet, cancel };
         let crashes = |u: &&Upstream| case.pool.is_none_or(|pool| u.pool() == pool);
@@ -277,6 +277,45 @@
     assert_eq!(late, [], "logs in {}", testbed.fleet.directory().display());
 }
 
+/// Sends the request twice to each of the nodes `early` while node 2 is cut off from the others,
+/// and once to every node after it is back in touch. Checks that none of the latter reach upstreams.
+async fn check_cut(early: &[usize], outage: usize) {
+    const CUT_OFF: usize = 2;
+    let case = Case { path: "/once/crash", nodes: 3, ..CASE };
+    let mut testbed = Testbed::start(case).await;
+    testbed.fleet.set_cut(CUT_OFF, true);
+    let mut replaced = 0;
+    // Long enough for the nodes to take each other for dead.
+    testbed.pause(case, CONTACT, &mut replaced).await;
+    for n in early.iter().chain(early) {
+        testbed.arrive(*n, case, &format!("early-{n}")).await;
+        testbed.pause(case, Duration::from_millis(200), &mut replaced).await;
+    }
+    let knows = |n: usize| testbed.fleet.nodes[n].log_text().contains("\"quarantined\":true");
+    let knowing: Vec<usize> = (0..case.nodes).filter(|n| knows(*n)).collect();
+    let expected: &[usize] = if early.contains(&CUT_OFF) { &[CUT_OFF] } else { &[0, 1] };
+    assert_eq!(knowing, expected, "nodes that refuse the request during the cut");
+    testbed.run_outage(outage).await;
+    testbed.fleet.set_cut(CUT_OFF, false);
+    tokio::time::sleep(CONTACT).await;
+    for node in 0..case.nodes {
+        testbed.arrive(node, case, &format!("late-{node}")).await;
+    }
+    let late: Vec<Run> =
+        testbed.runs().into_iter().filter(|r| r.request_id.starts_with("late")).collect();
+    assert_eq!(late, [], "logs in {}", testbed.fleet.directory().display());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_was_cut_off_refuses_a_request_that_the_others_have_reported() {
+    check_cut(&[0], 100).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_others_refuse_a_request_that_a_node_has_reported_while_it_was_cut_off() {
+    check_cut(&[2], 0).await;
+}
+
 /// Two attempts of one arrival crash two upstreams, one after the other, which is enough to refuse
 /// the request before it has crashed the third.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/balsamgate/tests/fleet/mod.rs
+++ b/crates/balsamgate/tests/fleet/mod.rs
@@ -4,15 +4,18 @@
 // Each test binary uses only a part of this module.
 #![allow(dead_code)]
 
+mod link;
+
 use std::{
     fs::File,
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::atomic::{AtomicU32, Ordering},
     time::Duration,
 };
 
+use link::Links;
 pub(crate) use platform_standin::upstream::Spec;
 use platform_standin::{
     caller::{self, Config},
@@ -20,6 +23,8 @@
     upstream::Upstream,
 };
 
+/// Port at which nodes reach each other.
+const PEER_PORT: u16 = 7104;
 const PROGRAM: &str = env!("CARGO_BIN_EXE_balsamgate");
 /// Limit of [`eventually`]: many times what a node needs to be ready, or a fleet to converge, on a
 /// busy machine. No test measures a time by it.
@@ -154,6 +159,8 @@
 pub(crate) struct Fleet {
     pub(crate) nodes: Vec<Process>,
     directory: PathBuf,
+    /// Set if a test may cut nodes off from each other.
+    links: Option<Links>,
     _subnet: Subnet,
 }
 
@@ -181,6 +188,11 @@
         Fleet::start_program(PROGRAM.into(), count, store, log, unread_stdout)
     }
 
+    /// Like [`Fleet::start`], with links between the nodes that [`Fleet::set_cut`] cuts.
+    pub(crate) fn start_linked(count: u8, store: SocketAddr) -> Fleet {
+        Fleet::start_nodes(Path::new(PROGRAM), count, store, "rate = 20", false, 7106)
+    }
+
     /// Like [`Fleet::start_with`], with nodes of `program` and the lines `log` in the `[log]`
     /// section of their settings.
     pub(crate) fn start_program(
@@ -189,6 +201,19 @@
         store: SocketAddr,
         log: &str,
         unread_stdout: bool,
+    ) -> Fleet {
+        Fleet::start_nodes(&program, count, store, log, unread_stdout, PEER_PORT)
+    }
+
+    /// Starts nodes that listen on `peer_port` for each other. If that is not the port that they
+    /// advertise, there are links between the two.
+    fn start_nodes(
+        program: &Path,
+        count: u8,
+        store: SocketAddr,
+        log: &str,
+        unread_stdout: bool,
+        peer_port: u16,
     ) -> Fleet {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
@@ -196,7 +221,11 @@
         let directory = std::env::temp_dir().join(format!("balsamgate-{process}-{number}"));
         std::fs::create_dir_all(&directory).expect("temporary directory");
         let subnet = Subnet::reserve();
-        let seeds = (0..count.min(3)).map(|n| format!("{}:7104", subnet.node(n)));
+        let links = (peer_port != PEER_PORT).then(|| {
+            let ips = (0..count).map(|n| subnet.node(n));
+            Links::start(ips.map(|ip| ((ip, PEER_PORT).into(), (ip, peer_port).into())))
+        });
+        let seeds = (0..count.min(3)).map(|n| format!("{}:{PEER_PORT}", subnet.node(n)));
         let seeds = seeds.collect::<Vec<_>>();
         let node = |n: u8| {
             let settings = directory.join(format!("node-{n}.ini"));
@@ -204,8 +233,8 @@
             let text = format!(
                 "[node]\ndeployment = test\nfailure_domain = {zone}\n\
                  [listen]\ncallers = {ip}:7101\nready = {ip}:7102\ndirectory = {ip}:7103\n\
-                 peers = {ip}:7104\nmetrics = {ip}:7105\n\
-                 [fleet]\nseeds = {}\n[platform]\naddress = {store}\n\
+                 peers = {ip}:{peer_port}\nmetrics = {ip}:7105\n\
+                 [fleet]\nadvertise = {ip}:{PEER_PORT}\nseeds = {}\n[platform]\naddress = {store}\n\
                  [bounds]\napply = 3 s\ndrain = {} ms\ngrace = {} ms\n\
                  [extra]\nratio = 0.2\nslack = 100\n[limits]\nbuffer = 1048576\n\
                  [log]\n{log}\n",
@@ -215,12 +244,12 @@
             );
             std::fs::write(&settings, text).expect("settings file");
             let log = directory.join(format!("node-{n}.log"));
-            let program = program.clone();
+            let program = program.to_owned();
             let mut process = Process { ip, program, child: None, unread_stdout, settings, log };
             process.start();
             process
         };
-        Fleet { nodes: (0..count).map(node).collect(), directory, _subnet: subnet }
+        Fleet { nodes: (0..count).map(node).collect(), directory, links, _subnet: subnet }
     }
 
     /// Waits until all nodes report that they are ready.
@@ -233,6 +262,13 @@
         }
     }
 
+    /// Cuts node `n` of a linked fleet off from the other nodes, or ends that. Its callers, its
+    /// upstreams and the store still reach it.
+    pub(crate) fn set_cut(&self, n: usize, is_cut: bool) {
+        let links = self.links.as_ref().expect("a linked fleet");
+        links.set_cut(self.nodes[n].ip, is_cut);
+    }
+
     /// Directory of the settings and logs.
     pub(crate) fn directory(&self) -> &std::path::Path {
         &self.directory
