--- a/crates/balsamgate/tests/crash_soak.rs
+++ b/crates/balsamgate/tests/crash_soak.rs
@@ -1,6 +1,6 @@
 //! Soak test of requests that crash the upstreams that run them. Several such requests come again
 //! and again, each at any node, among requests that do no harm, while upstreams crash by
-//! themselves, nodes are killed, stopped and suspended, and the store is away.
+//! themselves, nodes are killed, suspended and cut off from each other, and the store is away.
 //!
 //! Checked is the stated bound: of a request that has crashed three upstreams, at most three
 //! retries later than [`CONTACT`] after that reach upstreams, of those that nodes without a fault
@@ -281,7 +281,7 @@
     let time = Duration::from_millis(rng.random_range(200..2_000));
     let node = rng.random_range(0..nodes);
     let start = Instant::now();
-    match rng.random_range(0..6) {
+    match rng.random_range(0..8) {
         0 => {
             world.count("fault: node killed", 1);
             world.fleet.lock().await.nodes[node].kill();
@@ -311,7 +311,16 @@
                 tokio::time::sleep(time / 4).await;
             }
         }
-        3 => {
+        3 | 4 => {
+            let time = 3 * time;
+            world.count("fault: node cut off from the others", 1);
+            world.disturbances.lock().push((node, start, start + time));
+            world.fleet.lock().await.set_cut(node, true);
+            tokio::time::sleep(time).await;
+            world.fleet.lock().await.set_cut(node, false);
+            world.disturbances.lock().push((node, start, Instant::now()));
+        }
+        5 => {
             let mode = if rng.random_bool(0.5) { Mode::Busy } else { Mode::Silent };
             world.count("fault: store away", 1);
             world.store.set_mode(mode);
@@ -336,7 +345,7 @@
     store.put(CONFIG_KEY, config(1, POOLS).to_json().as_bytes());
     let crashing: Vec<CrashingRequest> =
         (0..CRASHING).map(|n| CrashingRequest::random(n, &mut rng)).collect();
-    let fleet = Fleet::start(nodes as u8, store.address());
+    let fleet = Fleet::start_linked(nodes as u8, store.address());
     let world = Arc::new(World {
         store,
         upstreams: Mutex::default(),
