Notices beyond one message are sent in turn

Operators saw: after many departures or quarantines at once, nodes of the earlier program that do not read the platform's list went on without most of them. Change: half of a message are the newest, the other half the rest in turn.

--- a/crates/policy/src/departure.rs
+++ b/crates/policy/src/departure.rs
@@ -9,6 +9,8 @@
 use base::{hash::FastMap, id};
 use serde::{Deserialize, Serialize};
 
+use crate::rotation::Rotation;
+
 /// Time for which an entry is gossiped without being confirmed by a list.
 pub const ENTRY_TTL: Duration = Duration::from_secs(10);
 /// Maximum number of entries; further departures are found by each node's own reads of the list.
@@ -30,6 +32,7 @@
 #[derive(Debug, Default)]
 pub struct DepartureTable {
     entries: FastMap<id::Upstream, Instant>,
+    rotation: Rotation,
 }
 
 impl DepartureTable {
@@ -69,8 +72,9 @@
         self.entries.remove(&upstream);
     }
 
-    /// Returns up to `limit` notices to gossip, those with the most time left first.
-    pub fn notices(&self, now: Instant, limit: usize) -> Vec<Notice> {
+    /// Returns up to `limit` notices to gossip: those with the most time left, and the others in
+    /// turn.
+    pub fn notices(&mut self, now: Instant, limit: usize) -> Vec<Notice> {
         let live = self.entries.iter().filter(|(_, expiry)| **expiry > now);
         let mut live: Vec<(Instant, id::Upstream)> =
             live.map(|(u, expiry)| (*expiry, *u)).collect();
@@ -79,7 +83,8 @@
             let remaining_ms = expiry.saturating_duration_since(now).as_millis() as u32;
             Notice { upstream, remaining_ms }
         };
-        live.into_iter().take(limit).map(notice).collect()
+        let all: Vec<Notice> = live.into_iter().map(notice).collect();
+        self.rotation.select(&all, limit)
     }
 
     fn remove_expired(&mut self, now: Instant) {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod quarantine;
 pub mod relay;
 pub mod replica;
+pub mod rotation;
 pub mod routing;
 pub mod version;
--- a/crates/policy/src/quarantine.rs
+++ b/crates/policy/src/quarantine.rs
@@ -11,6 +11,8 @@
 use base::hash::SeededMap;
 use serde::{Deserialize, Serialize};
 
+use crate::rotation::Rotation;
+
 /// Time for which a fingerprint stays quarantined.
 pub const QUARANTINE_TTL: Duration = Duration::from_secs(60);
 /// Maximum number of fingerprints tracked or quarantined at a time.
@@ -47,6 +49,7 @@
     entries: SeededMap<u64, Entry>,
     insertion_order: VecDeque<u64>,
     quarantined: usize,
+    rotation: Rotation,
 }
 
 impl QuarantineTable {
@@ -115,14 +118,15 @@
         newly
     }
 
-    /// Returns up to `limit` notices to gossip, the newest fingerprints first.
-    pub fn notices(&self, now: Instant, limit: usize) -> Vec<Notice> {
+    /// Returns up to `limit` notices to gossip: the newest fingerprints, and the others in turn.
+    pub fn notices(&mut self, now: Instant, limit: usize) -> Vec<Notice> {
         let live = |f: &u64| {
             let entry = self.entries.get(f).filter(|e| e.quarantined && e.until > now)?;
             let remaining_ms = (entry.until - now).as_millis() as u32;
             Some(Notice { fingerprint: *f, remaining_ms })
         };
-        self.insertion_order.iter().rev().filter_map(live).take(limit).collect()
+        let all: Vec<Notice> = self.insertion_order.iter().rev().filter_map(live).collect();
+        self.rotation.select(&all, limit)
     }
 
     fn entry(&mut self, now: Instant, fingerprint: u64) -> &mut Entry {
--- a/crates/policy/tests/departure.rs
+++ b/crates/policy/tests/departure.rs
@@ -45,3 +45,14 @@
     table.remove(upstream(2));
     assert_eq!(table.notices(now, usize::MAX).len(), MAX_ENTRIES - 1);
 }
+
+#[test]
+fn departures_beyond_one_message_reach_other_nodes() {
+    let now = Instant::now();
+    let (mut one, mut other) = (DepartureTable::new(), DepartureTable::new());
+    (0..100).for_each(|i| _ = one.record_listed(now, upstream(i)));
+    for _ in 0..25 {
+        one.notices(now, 8).into_iter().for_each(|notice| _ = other.merge(now, notice));
+    }
+    assert_eq!(other.notices(now, usize::MAX).len(), 100);
+}
--- a/crates/policy/tests/quarantine.rs
+++ b/crates/policy/tests/quarantine.rs
@@ -81,3 +81,16 @@
     assert!(table.is_quarantined(now, 7));
     assert_eq!(table.len(), 1);
 }
+
+#[test]
+fn quarantined_fingerprints_beyond_one_message_reach_other_nodes() {
+    let now = Instant::now();
+    let (mut one, mut other) = (QuarantineTable::new(), QuarantineTable::new());
+    for fingerprint in 0..100 {
+        one.merge(now, Notice { fingerprint, remaining_ms: 60_000 });
+    }
+    for _ in 0..25 {
+        one.notices(now, 8).into_iter().for_each(|notice| _ = other.merge(now, notice));
+    }
+    assert_eq!(other.len(), 100);
+}
