Counts of dropped log lines are logged when the second is over

Operators saw: after a burst, a node that got no further request, or stopped, never told how many lines it had left out. The test of the rate stays as it was. Change: the node's tick ends a window, and a stop logs the last. suppressed_lines, which nobody called, is removed.

--- a/crates/balsamgate/src/relay.rs
+++ b/crates/balsamgate/src/relay.rs
@@ -146,6 +146,7 @@
     }
     cancel.cancel();
     tokio::time::sleep(CLOSE_MARGIN).await;
+    node.log_dropped_lines();
     tracing::info!("stopped");
     Ok(())
 }
--- a/crates/balsamgate/tests/relay.rs
+++ b/crates/balsamgate/tests/relay.rs
@@ -66,6 +66,15 @@
         self.send(node, &request(path, id)).await.expect("an answer")
     }
 
+    /// Sends `count` searches at once, all of which must be answered.
+    async fn send_burst(&self, count: usize, id: &str) {
+        let requests: Vec<CallerRequest> =
+            (0..count).map(|n| request("/search/x", &format!("{id}-{n}"))).collect();
+        let searches = requests.iter().map(|request| self.send(0, request));
+        let answers = futures::future::join_all(searches).await;
+        assert!(answers.iter().all(|a| a.as_ref().is_ok_and(|a| a.status == 200)), "{answers:?}");
+    }
+
     /// Runs of the request `id` at all upstreams, with the pool of each.
     fn runs_of(&self, id: &str) -> Vec<(String, Run)> {
         let at_upstream = |u: &Upstream| {
@@ -362,31 +371,48 @@
     let testbed = testbed(1).await;
     testbed.store.set_mode(Mode::Silent);
     for burst in 0..BURSTS {
-        let requests: Vec<CallerRequest> =
-            (0..BURST).map(|n| request("/search/x", &format!("load-{burst}-{n}"))).collect();
-        let searches = requests.iter().map(|request| testbed.send(0, request));
-        let answers = futures::future::join_all(searches).await;
-        assert!(answers.iter().all(|a| a.as_ref().is_ok_and(|a| a.status == 200)), "{answers:?}");
+        testbed.send_burst(BURST, &format!("load-{burst}")).await;
         tokio::time::sleep(Duration::from_millis(1_100)).await;
     }
-    // The counts of a second are logged with the first line of a later second.
     testbed.get(0, "/search/x", "last").await;
-    let count_answers = async || {
-        let log = testbed.fleet.nodes[0].log_text();
-        let answered = log.lines().filter(|l| l.contains("request answered")).count();
-        let left_out = log.lines().filter_map(|l| left_out(l, &["answered", "partial"]));
-        (answered, left_out.sum::<usize>())
-    };
     eventually("all answers are logged or counted", async || {
-        let (answered, left_out) = count_answers().await;
+        let (answered, left_out) = count_answers(&testbed.fleet.nodes[0].log_text());
         answered + left_out == BURSTS * BURST + 1
     })
     .await;
-    let (answered, _) = count_answers().await;
+    let (answered, _) = count_answers(&testbed.fleet.nodes[0].log_text());
     // Complete and partial answers have a rate limit each, and a burst may span two seconds.
     assert!(answered <= 2 * 2 * RATE * BURSTS + 1, "{answered} lines");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn dropped_lines_are_counted_although_no_request_follows() {
+    let testbed = testbed(1).await;
+    testbed.send_burst(100, "burst").await;
+    eventually("all answers are logged or counted", async || {
+        let (answered, left_out) = count_answers(&testbed.fleet.nodes[0].log_text());
+        answered + left_out == 100
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn dropped_lines_are_counted_before_a_stop() {
+    let mut testbed = testbed(1).await;
+    testbed.send_burst(100, "burst").await;
+    testbed.fleet.nodes[0].signal("-TERM");
+    assert_eq!(testbed.fleet.nodes[0].wait_exit(fleet::GRACE).await, Some(0));
+    let (answered, left_out) = count_answers(&testbed.fleet.nodes[0].log_text());
+    assert_eq!(answered + left_out, 100);
+}
+
+/// Answers that `log` has lines on, and those whose lines it reports as dropped.
+fn count_answers(log: &str) -> (usize, usize) {
+    let answered = log.lines().filter(|l| l.contains("request answered")).count();
+    let left_out = log.lines().filter_map(|l| left_out(l, &["answered", "partial"]));
+    (answered, left_out.sum::<usize>())
+}
+
 /// Number of dropped lines that `line` reports, if it is the summary of one of `kinds`.
 fn left_out(line: &str, kinds: &[&str]) -> Option<usize> {
     let line: serde_json::Value = serde_json::from_str(line).ok()?;
--- a/crates/relay/src/log_limiter.rs
+++ b/crates/relay/src/log_limiter.rs
@@ -76,14 +76,10 @@
     }
 
     /// Returns whether a line of `kind` may be written now. Counts the line as written or
-    /// suppressed, and logs the suppressed lines of a window that has ended.
+    /// suppressed.
     pub fn allows(&self, now: Instant, kind: LogKind) -> bool {
         let mut state = self.state.lock();
-        if now.saturating_duration_since(state.window_start) >= WINDOW {
-            let counts = std::mem::take(&mut state.counts);
-            state.window_start = now;
-            report_suppressed(&counts);
-        }
+        state.end_window(now);
         let count = &mut state.counts[kind as usize];
         let allowed = count.written < self.rate;
         match allowed {
@@ -93,9 +89,25 @@
         allowed
     }
 
-    /// Returns the number of lines suppressed in the current window.
-    pub fn suppressed_lines(&self) -> u32 {
-        self.state.lock().counts.iter().map(|c| c.suppressed).sum()
+    /// Logs the counts of the current window if it has ended. To be called several times a second,
+    /// as no further line may come.
+    pub fn end_window(&self, now: Instant) {
+        self.state.lock().end_window(now);
+    }
+
+    /// Logs the counts of the current window, as the process stops.
+    pub fn finish(&self) {
+        report_suppressed(&std::mem::take(&mut self.state.lock().counts));
+    }
+}
+
+impl State {
+    /// Starts a new window if the current one has ended, and logs the lines that it suppressed.
+    fn end_window(&mut self, now: Instant) {
+        if now.saturating_duration_since(self.window_start) >= WINDOW {
+            self.window_start = now;
+            report_suppressed(&std::mem::take(&mut self.counts));
+        }
     }
 }
 
--- a/crates/relay/src/membership.rs
+++ b/crates/relay/src/membership.rs
@@ -94,6 +94,7 @@
     platform_watch::sync_pools(node);
     node.connections.close_expired(node.now());
     crash::expire(node, node.now());
+    node.log_limiter.end_window(node.now());
     if divergent {
         tokio::spawn(fetch_members(node.clone()));
     }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -189,6 +189,12 @@
         applied != *settings
     }
 
+    /// Logs the counts of log lines that were dropped and not reported yet, before the process
+    /// ends.
+    pub fn log_dropped_lines(&self) {
+        self.log_limiter.finish();
+    }
+
     /// Returns the current time of a clock that includes suspensions.
     pub fn now(&self) -> Instant {
         self.clock.now()
