Only linked test fleets set the advertised address

Cause: the fixture also starts programs of earlier builds, which refuse a setting that they do not know. Change: unlinked fleets leave it out.

--- a/crates/balsamgate/tests/fleet/mod.rs
+++ b/crates/balsamgate/tests/fleet/mod.rs
@@ -230,11 +230,16 @@
         let node = |n: u8| {
             let settings = directory.join(format!("node-{n}.ini"));
             let (ip, zone) = (subnet.node(n), ZONES[usize::from(n) % ZONES.len()]);
+            // An earlier program of `Fleet::start_program` may not know this setting.
+            let advertise = match &links {
+                Some(_) => format!("advertise = {ip}:{PEER_PORT}\n"),
+                None => String::new(),
+            };
             let text = format!(
                 "[node]\ndeployment = test\nfailure_domain = {zone}\n\
                  [listen]\ncallers = {ip}:7101\nready = {ip}:7102\ndirectory = {ip}:7103\n\
                  peers = {ip}:{peer_port}\nmetrics = {ip}:7105\n\
-                 [fleet]\nadvertise = {ip}:{PEER_PORT}\nseeds = {}\n[platform]\naddress = {store}\n\
+                 [fleet]\nseeds = {}\n{advertise}[platform]\naddress = {store}\n\
                  [bounds]\napply = 3 s\ndrain = {} ms\ngrace = {} ms\n\
                  [extra]\nratio = 0.2\nslack = 100\n[limits]\nbuffer = 1048576\n\
                  [log]\n{log}\n",
