--- a/crates/client/src/lib.rs
+++ b/crates/client/src/lib.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
@@ -19,13 +19,17 @@
     caller::{self, Addresses},
 };
 
+/// Maximum size of a response: the largest reply of an upstream that a node accepts.
+pub const MAX_RESPONSE_BYTES: usize = wire::upstream::MAX_REPLY_BYTES;
+
 /// Error of a call to a node.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
     /// No part of the request was sent.
     #[error("{0}: request not sent")]
     NotSent(SocketAddr),
-    /// The connection was lost after part of the request may have been sent.
+    /// The connection was lost after part of the request may have been sent, or closed because the
+    /// response exceeds [`MAX_RESPONSE_BYTES`].
     #[error("{0}: connection lost before the response was complete")]
     ConnectionLost(SocketAddr),
     /// The response is not an answer, such as when the node rejects an invalid request without
@@ -165,7 +169,7 @@
             }
         };
         let status = response.status();
-        let body = response.into_body().collect().await;
+        let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect().await;
         let body = body.map_err(|_| Error::ConnectionLost(node))?.to_bytes();
         if connection.ready().await.is_ok() {
             let mut idle = self.idle.lock();
