--- a/crates/balsamgate/tests/fleet/mod.rs
+++ b/crates/balsamgate/tests/fleet/mod.rs
@@ -25,6 +25,8 @@
 
 /// Port at which nodes reach each other.
 const PEER_PORT: u16 = 7104;
+/// Port that nodes behind links listen on.
+const LINKED_PORT: u16 = 7106;
 const PROGRAM: &str = env!("CARGO_BIN_EXE_balsamgate");
 /// Limit of [`eventually`]: many times what a node needs to be ready, or a fleet to converge, on a
 /// busy machine. No test measures a time by it.
@@ -190,7 +192,7 @@
 
     /// Like [`Fleet::start`], with links between the nodes that [`Fleet::set_cut`] cuts.
     pub(crate) fn start_linked(count: u8, store: SocketAddr) -> Fleet {
-        Fleet::start_nodes(Path::new(PROGRAM), count, store, "rate = 20", false, 7106)
+        Fleet::start_nodes(Path::new(PROGRAM), count, store, "rate = 20", false, true)
     }
 
     /// Like [`Fleet::start_with`], with nodes of `program` and the lines `log` in the `[log]`
@@ -202,18 +204,17 @@
         log: &str,
         unread_stdout: bool,
     ) -> Fleet {
-        Fleet::start_nodes(&program, count, store, log, unread_stdout, PEER_PORT)
+        Fleet::start_nodes(&program, count, store, log, unread_stdout, false)
     }
 
-    /// Starts nodes that listen on `peer_port` for each other. If that is not the port that they
-    /// advertise, there are links between the two.
+    /// Starts nodes. If they are `linked`, the addresses that they advertise are those of links.
     fn start_nodes(
         program: &Path,
         count: u8,
         store: SocketAddr,
         log: &str,
         unread_stdout: bool,
-        peer_port: u16,
+        linked: bool,
     ) -> Fleet {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
@@ -221,7 +222,8 @@
         let directory = std::env::temp_dir().join(format!("balsamgate-{process}-{number}"));
         std::fs::create_dir_all(&directory).expect("temporary directory");
         let subnet = Subnet::reserve();
-        let links = (peer_port != PEER_PORT).then(|| {
+        let peer_port = if linked { LINKED_PORT } else { PEER_PORT };
+        let links = linked.then(|| {
             let ips = (0..count).map(|n| subnet.node(n));
             Links::start(ips.map(|ip| ((ip, PEER_PORT).into(), (ip, peer_port).into())))
         });
