--- a/crates/balsamgate/tests/crash.rs
+++ b/crates/balsamgate/tests/crash.rs
@@ -292,9 +292,13 @@
         testbed.pause(case, Duration::from_millis(200), &mut replaced).await;
     }
     let knows = |n: usize| testbed.fleet.nodes[n].log_text().contains("\"quarantined\":true");
+    let reported: &[usize] = if early.contains(&CUT_OFF) { &[CUT_OFF] } else { &[0, 1] };
+    eventually("the nodes on one side of the cut refuse the request", async || {
+        reported.iter().all(|n| knows(*n))
+    })
+    .await;
     let knowing: Vec<usize> = (0..case.nodes).filter(|n| knows(*n)).collect();
-    let expected: &[usize] = if early.contains(&CUT_OFF) { &[CUT_OFF] } else { &[0, 1] };
-    assert_eq!(knowing, expected, "nodes that refuse the request during the cut");
+    assert_eq!(knowing, reported, "nodes that refuse the request during the cut");
     testbed.run_outage(outage).await;
     testbed.fleet.set_cut(CUT_OFF, false);
     tokio::time::sleep(CONTACT).await;
