--- a/crates/balsamgate/tests/crash.rs
+++ b/crates/balsamgate/tests/crash.rs
@@ -161,6 +161,16 @@
         tokio::join!(futures::future::join_all(searches), crash);
     }
 
+    /// Sends the request once to every node. None of these arrivals may reach an upstream.
+    async fn assert_refused(&self, case: Case) {
+        for node in 0..case.nodes {
+            self.arrive(node, case, &format!("late-{node}")).await;
+        }
+        let late: Vec<Run> =
+            self.runs().into_iter().filter(|r| r.request_id.starts_with("late")).collect();
+        assert_eq!(late, [], "logs in {}", self.fleet.directory().display());
+    }
+
     fn runs(&self) -> Vec<Run> {
         self.upstreams.iter().flat_map(Upstream::runs).collect()
     }
@@ -269,12 +279,7 @@
     let ready = testbed.fleet.nodes[0].ready();
     eventually("the restarted node is ready", async || caller::is_ready(ready).await).await;
     tokio::time::sleep(CONTACT).await;
-    for node in 0..case.nodes {
-        testbed.arrive(node, case, &format!("late-{node}")).await;
-    }
-    let late: Vec<Run> =
-        testbed.runs().into_iter().filter(|r| r.request_id.starts_with("late")).collect();
-    assert_eq!(late, [], "logs in {}", testbed.fleet.directory().display());
+    testbed.assert_refused(case).await;
 }
 
 /// Sends the request twice to each of the nodes `early` while node 2 is cut off from the others,
@@ -302,12 +307,7 @@
     testbed.run_outage(outage).await;
     testbed.fleet.set_cut(CUT_OFF, false);
     tokio::time::sleep(CONTACT).await;
-    for node in 0..case.nodes {
-        testbed.arrive(node, case, &format!("late-{node}")).await;
-    }
-    let late: Vec<Run> =
-        testbed.runs().into_iter().filter(|r| r.request_id.starts_with("late")).collect();
-    assert_eq!(late, [], "logs in {}", testbed.fleet.directory().display());
+    testbed.assert_refused(case).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
