A search under which all upstreams fall silent is not refused: failing test

Cause of what the test shows: a check without an answer counts as a crash only if another upstream replies meanwhile. When the request has taken all of them, none does, and what is known is dropped.

--- a/crates/balsamgate/tests/crash.rs
+++ b/crates/balsamgate/tests/crash.rs
@@ -186,7 +186,7 @@
 
 fn faults(case: Case) -> Faults {
     let path = case.path.to_owned();
-    let crashes = vec![Crash { path, delay: case.crash_delay }];
+    let crashes = vec![Crash { path, delay: case.crash_delay, silent: false }];
     Faults { crashes, ..Faults::default() }
 }
 
--- a/crates/balsamgate/tests/crash_soak.rs
+++ b/crates/balsamgate/tests/crash_soak.rs
@@ -106,7 +106,8 @@
 
     fn faults(&self, pool: &str) -> Faults {
         let here = self.crashing.iter().filter(|r| r.pool.as_ref().is_none_or(|p| p == pool));
-        let crash = |r: &CrashingRequest| Crash { path: r.path.clone(), delay: r.delay };
+        let crash =
+            |r: &CrashingRequest| Crash { path: r.path.clone(), delay: r.delay, silent: false };
         Faults { crashes: here.map(crash).collect(), ..Faults::default() }
     }
 
--- a/crates/balsamgate/tests/relay.rs
+++ b/crates/balsamgate/tests/relay.rs
@@ -204,7 +204,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_that_crashes_upstreams_is_refused_at_every_node() {
     let testbed = testbed(2).await;
-    let crashes = vec![Crash { path: "poison".into(), delay: Duration::ZERO }];
+    let crashes = vec![Crash { path: "poison".into(), delay: Duration::ZERO, silent: false }];
     let crash = Faults { crashes, ..Faults::default() };
     testbed.set_faults("single", &crash);
     // The pool has two upstreams; each of the two arrivals crashes one.
