--- a/crates/balsamgate/tests/crash_outage.rs
+++ b/crates/balsamgate/tests/crash_outage.rs
@@ -131,8 +131,8 @@
     }
 }
 
-/// Sends the crashing search to random nodes: a few times within moments at the start, then about
-/// once a second. The caller retries once at another node.
+/// Sends the crashing search to random nodes: a few times within moments at the start, then several
+/// times a second. The caller retries once at another node.
 async fn run_crashing(world: Arc<World>, seed: u64) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut arrivals = Vec::new();
@@ -154,7 +154,7 @@
                 }
             }
         }));
-        let pause = if n < BURST { 0..20 } else { 200..1_800 };
+        let pause = if n < BURST { 0..20 } else { 50..500 };
         tokio::time::sleep(Duration::from_millis(rng.random_range(pause))).await;
     }
     for arrival in arrivals {
