What is known of silent upstreams is kept until the registry tells

Callers saw: a search under which all upstreams fall silent takes them down again each time they are back (90 to 120 crashes in 20 s, up to 10 late retries, 3 allowed). Cause: a check without an answer was proof of a crash only if another upstream replied meanwhile; else the suspects were dropped for good. A request that takes all upstreams leaves nobody to reply: the more it destroys, the less is known of it. One reply after the check began was taken as proof, although a node that was cut off until then sees just that. Change: suspects of a silent upstream are kept for 8 s and the check is repeated. The registry, as an independent observer, tells: another process in its place, or its entry dropped without a drain, is a crash. A reply counts only with one shortly before the check. What stays open is counted as cut_off when it expires.

--- a/crates/policy/src/relay/crash_suspects.rs
+++ b/crates/policy/src/relay/crash_suspects.rs
@@ -27,6 +27,12 @@
 /// Time for which a request is suspected. With the check and the reports that follow, less than
 /// the 4 s within which a deployment expects a request that crashes upstreams to be refused.
 pub const SUSPICION: Duration = Duration::from_secs(3);
+/// The same at an upstream that is silent while this node may be cut off. The platform removes the
+/// entry of a process that has ended within 4.8 s, and nodes retain it for 2 s longer.
+pub const SILENT_SUSPICION: Duration = Duration::from_secs(8);
+/// Longest time between replies to a node that is not cut off. On the smallest deployments a node
+/// gets several replies a second.
+pub const MAX_REPLY_GAP: Duration = Duration::from_secs(1);
 /// Maximum number of requests suspected at one upstream; the oldest is dropped first. No upstream
 /// runs more at a time.
 pub const MAX_SUSPECTS: usize = 64;
@@ -49,16 +55,27 @@
     Silent,
     /// Another process has taken its place, at its address or under its id.
     Replaced,
+    /// It was silent, and the platform no longer lists it.
+    Gone,
 }
 
 impl Proof {
     /// Returns whether the upstream has crashed, rather than this node being cut off from it.
-    /// `others_reply` is whether another upstream has replied to this node meanwhile.
+    /// `others_reply` is whether other upstreams replied to this node before and after the upstream
+    /// was found silent.
     pub fn is_crash(self, others_reply: bool) -> bool {
         self != Proof::Silent || others_reply
     }
 }
 
+/// Returns whether this node can reach upstreams during a check that began at `began`, given the
+/// last reply before it and the last reply so far. A reply after the check began does not
+/// suffice: the node may have been cut off until then.
+pub fn others_reply(began: Instant, before: Option<Instant>, latest: Option<Instant>) -> bool {
+    let recent = |at: Instant| began.saturating_duration_since(at) < MAX_REPLY_GAP;
+    before.is_some_and(recent) && latest.is_some_and(|at| at >= began)
+}
+
 /// Number of upstreams that may crash under one arrival before it is reported twice. Upstreams of
 /// several pools crash at the same time in an outage, but other pools then reply.
 pub const CONCLUSIVE_CRASHES: u32 = 3;
@@ -152,6 +169,15 @@
     check_at: Option<Instant>,
     /// Whether there has been a sign of a crash since.
     sign: bool,
+    /// Whether the upstream has been found silent while this node may have been cut off.
+    silent: bool,
+}
+
+impl Entry {
+    fn is_expired(&self, now: Instant) -> bool {
+        let limit = if self.silent { SILENT_SUSPICION } else { SUSPICION };
+        now.saturating_duration_since(self.since) >= limit
+    }
 }
 
 /// Suspected requests of one upstream.
@@ -162,6 +188,8 @@
     alive_at: Option<Instant>,
     /// When it last accepted a connection that was opened to check it.
     checked_at: Option<Instant>,
+    /// Number of suspects of a silent upstream that have expired without proof of a crash.
+    unresolved: usize,
 }
 
 impl CrashSuspects {
@@ -180,6 +208,11 @@
         self.entries.len()
     }
 
+    /// Returns the number of suspects that are kept because the upstream is silent.
+    pub fn silent_len(&self) -> usize {
+        self.entries.iter().filter(|e| e.silent).count()
+    }
+
     /// Adds a suspect. `connected` is whether this node has another connection to the upstream,
     /// whose end would show a crash. Returns the suspect that was dropped to make room.
     pub fn add(
@@ -197,7 +230,14 @@
             Exposure::Abandoned if connected => Some(now + ABANDONED_RUN),
             Exposure::Abandoned => Some(self.next_recheck(now)),
         };
-        self.entries.push(Entry { suspect, exposure, since: now, check_at, sign: false });
+        self.entries.push(Entry {
+            suspect,
+            exposure,
+            since: now,
+            check_at,
+            sign: false,
+            silent: false,
+        });
         dropped
     }
 
@@ -222,8 +262,11 @@
     /// finished by then are no longer suspected.
     pub fn record_alive(&mut self, now: Instant) {
         self.alive_at = Some(now);
+        // What accepts connections again after a silence may be another process.
         self.entries.retain(|e| {
-            e.exposure == Exposure::Lost || now.saturating_duration_since(e.since) < ABANDONED_RUN
+            e.exposure == Exposure::Lost
+                || e.silent
+                || now.saturating_duration_since(e.since) < ABANDONED_RUN
         });
         for entry in &mut self.entries {
             // Unless a connection ends, an upstream that replies has not crashed. The check after
@@ -244,8 +287,18 @@
         }
     }
 
-    /// Removes all suspects of an upstream that has crashed, and returns those that may have been
-    /// running when it did.
+    /// Records that the upstream does not answer to a new connection while this node may be cut
+    /// off. Its suspects are kept until there is proof of a crash, and it is checked again.
+    pub fn record_silence(&mut self, now: Instant) {
+        self.expire(now);
+        for entry in &mut self.entries {
+            entry.silent = true;
+            entry.check_at = Some(now + RECHECK_INTERVAL);
+        }
+    }
+
+    /// Removes the suspects that `proof` shows to be or not to be involved in a crash, and returns
+    /// those that may have been running when the upstream crashed.
     pub fn take(&mut self, now: Instant, proof: Proof) -> Vec<Suspect> {
         self.expire(now);
         let alive_at = self.alive_at.filter(|_| proof != Proof::Replaced);
@@ -254,13 +307,21 @@
                 Exposure::Lost => CHECK_DELAY,
                 Exposure::Abandoned => ABANDONED_RUN,
             };
-            alive_at.is_none_or(|at| at < e.since + run)
+            let is_proof = proof != Proof::Gone || e.silent;
+            is_proof && alive_at.is_none_or(|at| at < e.since + run)
         };
         self.entries.drain(..).filter(ran).map(|e| e.suspect).collect()
     }
 
     /// Removes those that have been suspected long enough.
     pub fn expire(&mut self, now: Instant) {
-        self.entries.retain(|e| now.saturating_duration_since(e.since) < SUSPICION);
+        let expired = self.entries.extract_if(.., |e| e.is_expired(now));
+        self.unresolved += expired.filter(|e| e.silent).count();
+    }
+
+    /// Returns the number of suspects of a silent upstream that have expired without proof since
+    /// the last call.
+    pub fn take_unresolved(&mut self) -> usize {
+        std::mem::take(&mut self.unresolved)
     }
 }
--- a/crates/policy/src/relay/registry.rs
+++ b/crates/policy/src/relay/registry.rs
@@ -450,6 +450,19 @@
         later.any(|e| e.address == entry.address || e.instance == entry.instance)
     }
 
+    /// Returns whether the process of `entry` is neither listed nor retained any more, and had not
+    /// announced that it drains.
+    pub fn has_gone(&self, entry: &Entry) -> bool {
+        let is_same = |e: &Arc<Entry>| e.instance == entry.instance && e.born_ms == entry.born_ms;
+        let is_known = |state: &KeyState| {
+            let retained = state.retained.as_ref().map(|r| &r.entry);
+            state.entry.as_ref().is_some_and(is_same) || retained.is_some_and(is_same)
+        };
+        let has_drained =
+            |state: &KeyState| state.departure.is_some_and(|d| d.has_drained_as(entry));
+        !entry.draining && !self.keys.values().any(|s| is_known(s) || has_drained(s))
+    }
+
     /// Returns the number of pools with a ready upstream, by failure domain.
     pub fn coverage(&self) -> FastMap<SmolStr, usize> {
         let ready = self.usable().filter(|(_, availability)| *availability == Availability::Ready);
--- a/crates/policy/tests/relay_crash_suspects.rs
+++ b/crates/policy/tests/relay_crash_suspects.rs
@@ -11,7 +11,8 @@
 use base::id;
 use policy::relay::crash_suspects::{
     ABANDONED_RUN, Arrival, CHECK_DELAY, CONCLUSIVE_CRASHES, CONCLUSIVE_CRASHES_IN_TURN,
-    CrashSuspects, Exposure, MAX_SUSPECTS, Proof, RECHECK_INTERVAL, SUSPICION, Suspect, names_pool,
+    CrashSuspects, Exposure, MAX_REPLY_GAP, MAX_SUSPECTS, Proof, RECHECK_INTERVAL,
+    SILENT_SUSPICION, SUSPICION, Suspect, names_pool, others_reply,
 };
 
 fn suspect(fingerprint: u64) -> Suspect {
@@ -28,6 +29,7 @@
 enum Step {
     Alive(u64),
     Sign(u64),
+    Silent(u64),
 }
 
 /// Checks whether a request is blamed for a crash that is found `found` after its attempt.
@@ -40,6 +42,7 @@
         match step {
             Step::Alive(ms) => suspects.record_alive(at(*ms)),
             Step::Sign(ms) => suspects.record_sign(at(*ms)),
+            Step::Silent(ms) => suspects.record_silence(at(*ms)),
         }
     }
     let taken = suspects.take(start + found, proof);
@@ -74,6 +77,59 @@
     check(Lost, &[Step::Alive(60)], late, Replaced, true);
 }
 
+#[test]
+fn a_request_is_blamed_for_a_silence_that_turns_out_to_be_a_crash() {
+    use Exposure::{Abandoned, Lost};
+    use Proof::{Gone, Replaced, Silent, Unreachable};
+    let late = SILENT_SUSPICION - CHECK_DELAY;
+    for exposure in [Abandoned, Lost] {
+        for proof in [Gone, Replaced, Silent, Unreachable] {
+            check(exposure, &[Step::Silent(1_400)], late, proof, true);
+        }
+        check(exposure, &[Step::Silent(1_400)], SILENT_SUSPICION, Replaced, false);
+        check(exposure, &[Step::Silent(1_400), Step::Alive(3_000)], late, Unreachable, false);
+        // What accepts connections again may be the process that has replaced it.
+        check(exposure, &[Step::Silent(1_400), Step::Alive(3_000)], late, Replaced, true);
+        // Without a silence, a process may also leave as planned.
+        check(exposure, &[], CHECK_DELAY, Gone, false);
+    }
+}
+
+#[test]
+fn suspects_of_a_silent_upstream_that_expire_without_proof_are_counted() {
+    let start = Instant::now();
+    let mut suspects = CrashSuspects::new();
+    suspects.add(start, suspect(1), Exposure::Lost, true);
+    suspects.record_silence(start + CHECK_DELAY);
+    assert_eq!(suspects.silent_len(), 1);
+    assert_eq!(suspects.next_check(), Some(start + CHECK_DELAY + RECHECK_INTERVAL));
+    suspects.expire(start + SUSPICION);
+    assert_eq!((suspects.len(), suspects.take_unresolved()), (1, 0));
+    suspects.expire(start + SILENT_SUSPICION);
+    assert_eq!((suspects.len(), suspects.take_unresolved()), (0, 1));
+    assert_eq!(suspects.take_unresolved(), 0);
+}
+
+#[test]
+fn a_node_that_was_cut_off_until_just_now_cannot_tell_a_silent_upstream() {
+    let began = Instant::now();
+    let at = |ms: i64| match u64::try_from(ms) {
+        Ok(ms) => began + Duration::from_millis(ms),
+        Err(_) => began - Duration::from_millis(ms.unsigned_abs()),
+    };
+    let check = |before: Option<i64>, latest: Option<i64>, expected: bool| {
+        let found = others_reply(began, before.map(at), latest.map(at));
+        assert_eq!(found, expected, "replies at {before:?} and {latest:?} ms");
+    };
+    let gap = MAX_REPLY_GAP.as_millis() as i64;
+    check(Some(-10), Some(200), true);
+    check(Some(1 - gap), Some(0), true);
+    check(Some(-10), Some(-10), false);
+    check(Some(-gap), Some(200), false);
+    check(None, Some(200), false);
+    check(None, None, false);
+}
+
 #[test]
 fn the_upstream_is_checked_after_a_loss_and_after_each_sign() {
     let now = Instant::now();
--- a/crates/policy/tests/relay_registry.rs
+++ b/crates/policy/tests/relay_registry.rs
@@ -68,6 +68,29 @@
     assert!(REMOVAL_GRACE < DRAIN);
 }
 
+#[test]
+fn a_process_has_gone_once_its_entry_is_removed_without_a_drain_and_not_retained() {
+    let now = Instant::now();
+    let check = |changes: &[Change], expired: bool, gone: bool| {
+        let mut registry = Registry::new(DRAIN);
+        for (change, revision) in changes.iter().zip(1..) {
+            registry.apply(now, vec![event("a", revision, change.clone())], Revision(revision));
+        }
+        registry.expire_removed(if expired { now + REMOVAL_GRACE } else { now });
+        assert_eq!(registry.has_gone(&entry("a", false)), gone, "{changes:?}, expired: {expired}");
+    };
+    let listed = Change::Put(entry("a", false));
+    let later = Change::Put(Entry { born_ms: 2, ..entry("a", false) });
+    check(&[listed.clone()], true, false);
+    check(&[listed.clone(), Change::Removed], false, false);
+    check(&[listed.clone(), Change::Removed], true, true);
+    check(&[listed.clone(), Change::Removed, listed.clone()], true, false);
+    check(&[listed.clone(), later], true, true);
+    let draining = Change::Put(entry("a", true));
+    check(&[listed, draining.clone()], true, false);
+    check(&[draining, Change::Removed], true, false);
+}
+
 #[test]
 fn a_short_drain_time_shortens_the_removal_grace() {
     let now = Instant::now();
--- a/crates/relay/src/crash_watch.rs
+++ b/crates/relay/src/crash_watch.rs
@@ -7,7 +7,7 @@
 
 use parking_lot::Mutex;
 use policy::relay::{
-    crash_suspects::{CrashSuspects, Exposure, Proof, Suspect},
+    crash_suspects::{self, CrashSuspects, Exposure, Proof, Suspect},
     registry::Entry,
     upstream::AttemptEnd,
 };
@@ -97,6 +97,15 @@
         }
     }
 
+    /// Reports the suspects of a silent upstream that the platform no longer lists.
+    fn record_gone(&self, node: &Node, entry: &Entry) {
+        let silent = self.state.lock().suspects.silent_len();
+        if silent > 0 {
+            crash::checked(node, entry, silent, "gone", None);
+            self.report(node, entry, Proof::Gone);
+        }
+    }
+
     /// Reports the suspects, as the upstream has crashed.
     fn report(&self, node: &Node, entry: &Entry, proof: Proof) {
         let suspects = self.state.lock().suspects.take(node.now(), proof);
@@ -118,23 +127,35 @@
         }
     }
 
-    /// Reports the suspects of upstreams that `node`'s registry shows to have been replaced. To
-    /// be called after each change of the registry.
+    /// Reports the suspects of upstreams that `node`'s registry shows to have been replaced or to
+    /// have gone. To be called after each change of the registry.
     pub(crate) fn check_registry(&self, node: &Node) {
         let now = node.now();
+        let mut unresolved = 0;
         self.upstreams.lock().retain(|(_, connections)| {
             let suspects = &mut connections.crash_watch.state.lock().suspects;
             suspects.expire(now);
+            unresolved += suspects.take_unresolved();
             !suspects.is_empty()
         });
-        let replaced: Vec<_> = {
+        if unresolved > 0 {
+            crash::dropped(node, None, unresolved, crash::DropCause::CutOff);
+        }
+        let (replaced, gone): (Vec<_>, Vec<_>) = {
             let registry = node.registry.lock();
             let upstreams = self.upstreams.lock();
-            upstreams.iter().filter(|(entry, _)| registry.is_replaced(entry)).cloned().collect()
+            let ended = |(entry, _): &&(Arc<Entry>, _)| {
+                registry.is_replaced(entry) || registry.has_gone(entry)
+            };
+            let ended = upstreams.iter().filter(ended).cloned();
+            ended.partition(|(entry, _)| registry.is_replaced(entry))
         };
         for (entry, connections) in replaced {
             connections.crash_watch.record_replaced(node, &entry);
         }
+        for (entry, connections) in gone {
+            connections.crash_watch.record_gone(node, &entry);
+        }
     }
 }
 
@@ -160,6 +181,7 @@
             continue;
         }
         let suspects = watch.state.lock().suspects.len();
+        let last_reply = *node.last_reply.lock();
         match connections.accepts_connection(&node, &entry).await {
             Ok(()) => {
                 crash::checked(&node, &entry, suspects, "accepted", None);
@@ -174,13 +196,12 @@
                 };
                 let cause = e.to_string();
                 crash::checked(&node, &entry, suspects, result, Some(&cause));
-                let others_reply = node.last_reply.lock().is_some_and(|at| at >= now);
-                if proof.is_crash(others_reply) {
+                let latest = *node.last_reply.lock();
+                if proof.is_crash(crash_suspects::others_reply(now, last_reply, latest)) {
                     crash::unreachable(&node, &entry, suspects, &cause);
                     watch.report(&node, &entry, proof);
                 } else {
-                    let suspects = watch.state.lock().suspects.take(node.now(), proof);
-                    crash::dropped(&node, None, suspects.len(), crash::DropCause::CutOff);
+                    watch.state.lock().suspects.record_silence(node.now());
                 }
             }
         }
--- a/crates/relay/src/platform_watch.rs
+++ b/crates/relay/src/platform_watch.rs
@@ -250,7 +250,6 @@
         }
     }
     sync_pools(node);
-    node.suspected_upstreams.check_registry(node);
     if !applied.is_empty() {
         membership::refresh_coverage(node);
     }
@@ -274,8 +273,8 @@
     );
 }
 
-/// Expires removed registry entries and synchronizes the pools with the registry. To be called
-/// several times a second.
+/// Expires removed registry entries, synchronizes the pools with the registry, and reports requests
+/// of upstreams that it shows to have crashed. To be called several times a second.
 pub(crate) fn sync_pools(node: &Node) {
     let now = node.now();
     let removed = {
@@ -286,6 +285,7 @@
     if !removed.is_empty() {
         node.connections.remove_upstreams(&removed);
     }
+    node.suspected_upstreams.check_registry(node);
 }
 
 fn log_event(event: &Event) {
