A search that too few pools can serve is not sent to the others

Cause: the pools were asked in turn; a pool without an upstream was found only when its turn came, after the request had been sent to the pools before it. So a request that could not be answered ran in vain, might crash what was left, and could not be refused as not run. Change: the pools without an upstream are found before the first attempt. Result: nothing_is_sent_if_too_few_pools_have_an_upstream fails before (3 attempts with 3 of 4 pools, 4 needed).

--- a/crates/policy/src/relay/request.rs
+++ b/crates/policy/src/relay/request.rs
@@ -151,6 +151,8 @@
     stopped: bool,
     /// Whether admission control refused the request.
     refused: bool,
+    /// Whether too few pools had an upstream for an answer, so that nothing was sent.
+    hopeless: bool,
 }
 
 impl RequestState {
@@ -167,6 +169,7 @@
             hold_until: None,
             stopped: false,
             refused: false,
+            hopeless: false,
         }
     }
 
@@ -266,6 +269,12 @@
             self.hold_until.get_or_insert(now + CRASH_CHECK_TIME);
         }
         let mut due = Vec::new();
+        if self.attempts_sent() == 0 && !self.hopeless {
+            self.find_pools_without_upstream(pools);
+        }
+        if self.hopeless {
+            return due;
+        }
         for pool_index in 0..self.pools.len() {
             if let Some(attempt) = self.due_attempt(now, pool_index, pools, rng) {
                 due.push(attempt);
@@ -274,6 +283,18 @@
         due
     }
 
+    /// Marks the pools that have no upstream. If too few are left for an answer, the others must not
+    /// run the request in vain.
+    fn find_pools_without_upstream(&mut self, pools: &Pools) {
+        for pool_index in 0..self.pools.len() {
+            let has_upstream = pools.has_untried(&self.plan.pools[pool_index], &[]);
+            if !has_upstream && !self.pools[pool_index].exhausted {
+                self.mark_exhausted(pool_index);
+            }
+        }
+        self.hopeless = self.pools.len() - self.exhausted < self.plan.min_replies;
+    }
+
     fn due_attempt(
         &mut self,
         now: Instant,
--- a/crates/policy/tests/relay_registry.rs
+++ b/crates/policy/tests/relay_registry.rs
@@ -81,7 +81,7 @@
     };
     let listed = Change::Put(entry("a", false));
     let later = Change::Put(Entry { born_ms: 2, ..entry("a", false) });
-    check(&[listed.clone()], true, false);
+    check(std::slice::from_ref(&listed), true, false);
     check(&[listed.clone(), Change::Removed], false, false);
     check(&[listed.clone(), Change::Removed], true, true);
     check(&[listed.clone(), Change::Removed, listed.clone()], true, false);
--- a/crates/policy/tests/relay_request.rs
+++ b/crates/policy/tests/relay_request.rs
@@ -260,6 +260,25 @@
     assert_eq!(case.completion(), failed(Fate::MayHaveRun, Reason::Lost));
 }
 
+#[test]
+fn nothing_is_sent_if_too_few_pools_have_an_upstream() {
+    let check = |with_upstreams: usize, min_replies: usize, sent: usize| {
+        let mut case = Case::new(with_upstreams, 2, min_replies, 100.0, true);
+        let plan = case.request.plan().clone();
+        let pools = (0..4).map(pool_name).collect();
+        case.request = RequestState::new(Plan { pools, connection_limits: vec![10; 4], ..plan });
+        let name = format!("{with_upstreams} of 4 pools with upstreams, {min_replies} needed");
+        assert_eq!(case.at(0).due().len(), sent, "{name}");
+        let refused = failed(Fate::NotRun, Reason::Unreachable).filter(|_| sent == 0);
+        assert_eq!(case.completion(), refused, "{name}");
+    };
+    check(4, 4, 4);
+    check(3, 3, 3);
+    check(3, 4, 0);
+    check(1, 3, 0);
+    check(0, 1, 0);
+}
+
 #[test]
 fn nothing_is_sent_where_no_upstream_is_known() {
     let mut case = Case::new(2, 0, 2, 100.0, true);
