An outage does not make popular requests guilty

Callers saw: after all upstreams of a search were lost at once, popular searches that had been running were refused for a minute, at all nodes, although the upstreams were back after 3 s. Cause: three losses of one arrival, or two arrivals, were evidence against a request whatever else was lost at that moment; in an outage they say only that it is sent often. Change: a node remembers which requests have completed lately (two generations of 4,096). The crashes of such a request in one outage count as one arrival in the whole fleet, and a peer's conclusive report on it counts once. From 2 s after its first report it is treated as any other, so a request that starts to crash upstreams is refused after its second outage.

--- a/crates/balsamgate/tests/crash_outage.rs
+++ b/crates/balsamgate/tests/crash_outage.rs
@@ -1,5 +1,6 @@
-//! End-to-end test of a search that crashes the upstreams of all its pools at the same time, and
-//! comes again while they are down, while they are slow after their restart, and later.
+//! End-to-end tests of outages of all upstreams of a search. A search that crashes them comes again
+//! while they are down, while they are slow after their restart, and later; popular searches that
+//! were running when they were lost come again, too.
 //!
 //! Checked is the bound of `crash_soak` at nodes without a fault of their own. `OUTAGE_SEEDS=20`
 //! runs that many random seeds, `OUTAGE_SEED=7` one seed, and `OUTAGE_QUOTA=40` lets each node run
@@ -8,7 +9,7 @@
 mod fleet;
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, HashSet},
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -36,9 +37,12 @@
 const UPSTREAMS: usize = 3;
 const CALLERS: usize = 8;
 /// Kinds of harmless requests: searches, and a few requests to another pool, which do not crash.
+const HARMLESS_REFUSED: &str = "harmless requests refused as quarantined";
 const BOTH: &[&str] = &["search", "search", "search", "search", "search", "search", "once"];
 const SEARCHES: &[&str] = &["search"];
 const CRASHING_PATH: &str = "/search/crash";
+/// Number of searches, and of other requests, that come again and again.
+const POPULAR: u64 = 4;
 /// Time for which requests are sent.
 const DURATION: Duration = Duration::from_secs(20);
 /// Time that upstreams need to start again after a crash.
@@ -168,7 +172,7 @@
     while !world.stop.load(Ordering::Relaxed) {
         let kind = *world.kinds.choose(&mut rng).expect("not empty");
         let popular = rng.random_bool(0.3);
-        let name = if popular { rng.random_range(0..4) } else { 100 + world.number() };
+        let name = if popular { rng.random_range(0..POPULAR) } else { 100 + world.number() };
         let path = format!("/{kind}/harmless-{name}");
         for _ in 0..2 {
             let id = format!("{kind}-{}", world.number());
@@ -176,7 +180,7 @@
             let status = answer.as_ref().map_or(0, |(status, _)| *status);
             world.count(&format!("{kind}: {status}"));
             if answer.is_some_and(|(_, body)| body.starts_with(b"quarantined")) {
-                world.count("harmless requests refused as quarantined");
+                world.count(HARMLESS_REFUSED);
             }
             if status == 200 {
                 break;
@@ -190,8 +194,13 @@
 async fn restart_upstreams(world: Arc<World>) {
     let mut seen = HashSet::new();
     while !world.stop.load(Ordering::Relaxed) {
-        let ended: Vec<Upstream> =
-            world.upstreams.lock().iter().filter(|u| u.crashed().is_some()).cloned().collect();
+        let ended: Vec<Upstream> = world
+            .upstreams
+            .lock()
+            .iter()
+            .filter(|u| u.crashed().is_some() || u.has_ended())
+            .cloned()
+            .collect();
         for old in ended {
             if !seen.insert(old.instance().to_owned()) {
                 continue;
@@ -225,14 +234,12 @@
     }
 }
 
-async fn run_seed(
-    seed: u64,
+/// Starts the nodes and upstreams.
+async fn start(
     silent: bool,
     kinds: &'static [&'static str],
-    quota: Option<Duration>,
-) -> (Option<String>, HashMap<String, u64>) {
-    let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let cancel = CancellationToken::new();
+    cancel: &CancellationToken,
+) -> Arc<World> {
     let store = Store::start(cancel.clone()).await.expect("a store");
     let config = caller_config();
     store.put(CONFIG_KEY, config.as_bytes());
@@ -253,6 +260,18 @@
         }
     }
     world.fleet.lock().await.ready().await;
+    world
+}
+
+async fn run_seed(
+    seed: u64,
+    silent: bool,
+    kinds: &'static [&'static str],
+    quota: Option<Duration>,
+) -> Option<String> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let cancel = CancellationToken::new();
+    let world = start(silent, kinds, &cancel).await;
     let mut tasks = vec![tokio::spawn(restart_upstreams(world.clone()))];
     if let Some(quota) = quota {
         tasks.push(tokio::spawn(throttle(world.clone(), quota)));
@@ -270,11 +289,11 @@
     cancel.cancel();
     let crashes = world.crashes();
     let late = world.late_retries();
-    let counts = world.counts.lock().clone().into_iter().collect();
+    let counts = world.counts.lock().clone();
     eprintln!("seed {seed}: {} crashes, late retries {late:?}, {counts:?}", crashes.len());
     let mut fleet = world.fleet.lock().await;
     if late.len() <= MAX_LATE_RETRIES {
-        return (None, counts);
+        return None;
     }
     let message = format!(
         "seed {seed}: {} crashes, late retries {late:?}; logs in {}",
@@ -286,7 +305,7 @@
     std::mem::swap(&mut *fleet, &mut empty);
     empty.nodes.iter_mut().for_each(fleet::Process::kill);
     std::mem::forget(empty);
-    (Some(message), counts)
+    Some(message)
 }
 
 fn caller_config() -> String {
@@ -305,7 +324,7 @@
     };
     let mut failed = Vec::new();
     for seed in seeds {
-        failed.extend(run_seed(seed, silent, kinds, quota).await.0);
+        failed.extend(run_seed(seed, silent, kinds, quota).await);
     }
     assert!(failed.is_empty(), "{}", failed.join("\n"));
 }
@@ -324,3 +343,55 @@
 async fn a_search_under_which_all_upstreams_of_the_fleet_fall_silent_is_refused() {
     check(true, SEARCHES).await;
 }
+
+/// Each popular search is served by each node, is running when all upstreams of the search are lost,
+/// and comes again once they are back.
+#[tokio::test(flavor = "multi_thread")]
+async fn popular_searches_are_served_again_after_all_upstreams_were_lost_at_once() {
+    let cancel = CancellationToken::new();
+    let world = start(false, SEARCHES, &cancel).await;
+    let restarts = tokio::spawn(restart_upstreams(world.clone()));
+    let all = || (0..POPULAR).flat_map(|name| (0..NODES).map(move |node| (name, node)));
+    let send_all = |round: &'static str| {
+        let world = world.clone();
+        let sends = all().map(move |(name, node)| {
+            let world = world.clone();
+            let id = format!("{round}-{name}-{node}");
+            async move { world.send(node, &format!("/search/harmless-{name}"), &id).await }
+        });
+        futures::future::join_all(sends)
+    };
+    let statuses = |answers: &[Option<(u16, Bytes)>]| {
+        answers.iter().map(|a| a.as_ref().map_or(0, |(status, _)| *status)).collect::<Vec<_>>()
+    };
+    for (name, node) in all() {
+        let id = format!("before-{name}-{node}");
+        let answer = world.send(node, &format!("/search/harmless-{name}"), &id).await;
+        assert_eq!(answer.map(|(status, _)| status), Some(200), "{id}");
+    }
+    let upstreams = world.upstreams.lock().clone();
+    let search = || upstreams.iter().filter(|u| u.pool() != "single");
+    let slow = Faults { extra_latency: Duration::from_millis(250), ..Faults::default() };
+    search().for_each(|u| u.set_faults(slow.clone()));
+    let crash = async {
+        tokio::time::sleep(Duration::from_millis(80)).await;
+        search().for_each(|u| u.crash(false));
+    };
+    let (during, ()) = tokio::join!(send_all("during"), crash);
+    assert!(!statuses(&during).contains(&200), "{:?}", statuses(&during));
+    fleet::eventually("all upstreams are back", async || {
+        let running = world.upstreams.lock().iter().filter(|u| !u.has_ended()).count();
+        running == (POOLS + 1) * UPSTREAMS
+    })
+    .await;
+    tokio::time::sleep(CONTACT).await;
+    let after = send_all("after").await;
+    world.stop.store(true, Ordering::Relaxed);
+    restarts.await.expect("the task does not panic");
+    cancel.cancel();
+    let quarantined = |a: &&Option<(u16, Bytes)>| {
+        a.as_ref().is_some_and(|(_, body)| body.starts_with(b"quarantined"))
+    };
+    let refused = after.iter().filter(quarantined).count();
+    assert_eq!(refused, 0, "of {}: {:?}", after.len(), statuses(&after));
+}
--- a/crates/policy/src/relay/crash_quarantine.rs
+++ b/crates/policy/src/relay/crash_quarantine.rs
@@ -32,6 +32,9 @@
 /// Largest number of requests with reports. The oldest entry is evicted first, and quarantined
 /// requests last.
 pub const MAX_FINGERPRINTS: usize = 1_024;
+/// Time within which the upstreams that are lost in one outage are found to have crashed: checks of
+/// silent ones included.
+const OUTAGE_SPREAD: Duration = Duration::from_secs(2);
 /// Largest number of withdrawn reports remembered for one request.
 const MAX_WITHDRAWN: usize = 8;
 /// Time for which reports on a request that is not refused are passed on. Later they matter only
@@ -144,6 +147,12 @@
         if known { Change::None } else { Change::Quarantined }
     }
 
+    fn withdraw(&mut self, arrivals: impl IntoIterator<Item = u32>) {
+        self.withdrawn.extend(arrivals);
+        let excess = self.withdrawn.len().saturating_sub(MAX_WITHDRAWN);
+        self.withdrawn.drain(..excess);
+    }
+
     fn refuse_until(&mut self, until: Instant) {
         self.refused_until = self.refused_until.max(until);
         self.forgotten_at = self.refused_until + SUSPICION_TTL;
@@ -192,6 +201,24 @@
         self.suspects.get(&fingerprint).is_some_and(|s| s.is_quarantined(now))
     }
 
+    /// Returns whether the request is suspected of an earlier crash than those of an outage that
+    /// may be going on.
+    pub fn is_suspected(&self, now: Instant, fingerprint: u64) -> bool {
+        let is_earlier = |s: &&Suspect| {
+            let age = now.saturating_duration_since(s.reported_at);
+            s.forgotten_at > now && !s.arrivals.is_empty() && age >= OUTAGE_SPREAD
+        };
+        self.suspects.get(&fingerprint).filter(is_earlier).is_some()
+    }
+
+    /// Ignores the report on `arrival` of a request from now on.
+    pub fn ignore(&mut self, now: Instant, fingerprint: u64, arrival: u32) {
+        self.make_room(now, fingerprint);
+        let suspect = self.suspect_mut(now, fingerprint);
+        suspect.forgotten_at = suspect.forgotten_at.max(now + OUTAGE_SPREAD);
+        suspect.withdraw([arrival]);
+    }
+
     /// Returns whether the request must be refused, for an arrival of it. Renews the quarantine if
     /// it has crashed an upstream again after an earlier one.
     pub fn refuse(&mut self, now: Instant, fingerprint: u64) -> bool {
@@ -216,15 +243,10 @@
         if suspect.is_quarantined(now) {
             return false;
         }
-        let before = suspect.withdrawn.len();
-        let withdrawn = suspect.arrivals.extract_if(.., |arrival| survived(*arrival));
-        suspect.withdrawn.extend(withdrawn);
-        if suspect.withdrawn.len() == before {
-            return false;
-        }
-        let excess = suspect.withdrawn.len().saturating_sub(MAX_WITHDRAWN);
-        suspect.withdrawn.drain(..excess);
-        true
+        let withdrawn: Vec<u32> = suspect.arrivals.extract_if(.., |a| survived(*a)).collect();
+        let any = !withdrawn.is_empty();
+        suspect.withdraw(withdrawn);
+        any
     }
 
     /// Removes the entries that have expired and returns their fingerprints.
--- a/crates/policy/src/relay/crash_suspects.rs
+++ b/crates/policy/src/relay/crash_suspects.rs
@@ -76,6 +76,9 @@
     before.is_some_and(recent) && latest.is_some_and(|at| at >= began)
 }
 
+/// Period in which the arrivals of a proven request count as one: long, so that an outage rarely
+/// falls into two of them.
+pub const PROVEN_PERIOD: Duration = Duration::from_secs(60);
 /// Number of upstreams that may crash under one arrival before it is reported twice. Upstreams of
 /// several pools crash at the same time in an outage, but other pools then reply.
 pub const CONCLUSIVE_CRASHES: u32 = 3;
@@ -85,7 +88,7 @@
 /// One arrival of a request, shared by its attempts.
 ///
 /// Its id, by which nodes report it, consists of the tag of the pool that lost an upstream first,
-/// 15 random bits, and a bit that is set in a second report.
+/// 15 random bits, and a bit that is set in a second report. That of a proven request names no pool.
 #[derive(Debug)]
 pub struct Arrival {
     id: AtomicU32,
@@ -93,6 +96,8 @@
     crashes: AtomicU32,
     /// Whether an upstream crashed under an attempt sent after a loss.
     in_turn: AtomicBool,
+    /// Whether upstreams have lately run the request without a crash.
+    proven: bool,
 }
 
 /// Returns the part of an arrival's id that names `pool`.
@@ -100,6 +105,11 @@
     (hash::stable(&[pool.as_str().as_bytes()]) as u32) << 16
 }
 
+/// Returns whether the reported `arrival` is the second report on one that is conclusive by itself.
+pub fn is_second_report(arrival: u32) -> bool {
+    arrival & 1 == 1
+}
+
 /// Returns whether `pool` lost an upstream under the reported `arrival`, the first if several did.
 pub fn names_pool(arrival: u32, pool: &id::Pool) -> bool {
     arrival & 0xffff_0000 == pool_tag(pool)
@@ -113,9 +123,19 @@
             replied: AtomicBool::new(false),
             crashes: AtomicU32::new(0),
             in_turn: AtomicBool::new(false),
+            proven: false,
         }
     }
 
+    /// Creates an arrival of a request that upstreams have lately run without a crash. It is never
+    /// conclusive, and has the same id as the request's other such arrivals at any node within
+    /// [`PROVEN_PERIOD`], so that those lost in one outage count as one.
+    pub fn of_proven(fingerprint: u64, unix: Duration) -> Arrival {
+        let period = unix.as_secs() / PROVEN_PERIOD.as_secs();
+        let id = hash::stable(&[&fingerprint.to_le_bytes(), &period.to_le_bytes()]) as u32;
+        Arrival { proven: true, ..Arrival::new(id) }
+    }
+
     /// Returns its id.
     pub fn id(&self) -> u32 {
         self.id.load(Ordering::Relaxed)
@@ -136,12 +156,13 @@
         in_turn: bool,
     ) -> impl Iterator<Item = u32> + use<> {
         let crashes = self.crashes.fetch_add(1, Ordering::Relaxed) + 1;
-        if crashes == 1 {
+        if crashes == 1 && !self.proven {
             self.id.fetch_or(pool_tag(pool), Ordering::Relaxed);
         }
         let in_turn = self.in_turn.fetch_or(in_turn, Ordering::Relaxed) || in_turn;
         let enough = if in_turn { CONCLUSIVE_CRASHES_IN_TURN } else { CONCLUSIVE_CRASHES };
-        let conclusive = crashes >= enough && !self.replied.load(Ordering::Relaxed);
+        let unanswered = !self.replied.load(Ordering::Relaxed);
+        let conclusive = crashes >= enough && unanswered && !self.proven;
         let id = self.id();
         [id].into_iter().chain(conclusive.then_some(id | 1))
     }
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -14,7 +14,7 @@
     membership::MAX_CRASH_REPORTS,
     relay::{
         crash_quarantine::{Change, CrashReport, Recorded},
-        crash_suspects::Suspect,
+        crash_suspects::{Suspect, is_second_report},
         registry::Entry,
         upstream::AttemptEnd,
     },
@@ -144,6 +144,9 @@
         }
     }
     let now = node.now();
+    let mut completed = node.completed.lock();
+    suspects.iter().for_each(|s| completed.remove(s.fingerprint));
+    drop(completed);
     let reports: Vec<CrashReport> = {
         let quarantine = node.crash_quarantine.lock();
         let report = |s: &Suspect, arrival| quarantine.report(now, s.fingerprint, arrival);
@@ -163,6 +166,15 @@
     let origin = if from.is_some() { "peer" } else { "own" };
     let recorded: Vec<(CrashReport, Recorded)> = {
         let mut quarantine = node.crash_quarantine.lock();
+        let completed = node.completed.lock();
+        for CrashReport { fingerprint, arrival, .. } in reports.iter().copied() {
+            // A peer that has not run the request lately takes its first loss for conclusive.
+            let is_proven =
+                completed.contains(now, fingerprint) && !quarantine.is_suspected(now, fingerprint);
+            if from.is_some() && is_second_report(arrival) && is_proven {
+                quarantine.ignore(now, fingerprint, arrival);
+            }
+        }
         reports.iter().map(|report| (*report, quarantine.record(now, *report))).collect()
     };
     let mut any_new = false;
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -15,7 +15,7 @@
 use policy::{
     outcome::{Fate, Reason},
     relay::{
-        crash_suspects::{self, Arrival, Suspect},
+        crash_suspects::{self, Suspect},
         merge,
         pool::UpstreamHandle,
         request::{Completion, Plan, PlannedAttempt, RequestState},
@@ -129,7 +129,7 @@
     let suspect = Suspect {
         request_id: request_log::id_text(&metadata.request_id).into(),
         fingerprint,
-        arrival: Arc::new(Arrival::new(node.random() as u32)),
+        arrival: Arc::new(node.new_arrival(arrived, fingerprint)),
         after_loss: false,
     };
     let mut task = RequestTask {
@@ -358,6 +358,9 @@
         if state.survived() && quarantine.lock().clear_unconfirmed(now, fingerprint, survived) {
             crash::dropped(node, Some(fingerprint), 1, crash::DropCause::Cleared);
         }
+        if state.survived() && completion == Completion::Complete {
+            node.completed.lock().record(now, fingerprint);
+        }
         match (completion, &self.route.target) {
             (Completion::Complete | Completion::Partial, Target::FanOut { top_k, .. }) => {
                 self.merge(state, &replies, *top_k)
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -10,13 +10,20 @@
 };
 
 use arc_swap::{ArcSwap, ArcSwapOption};
-use base::{clock::Clock, hash::FastMap, id, unit::Generation};
+use base::{
+    clock::{Clock, WallClock},
+    hash::FastMap,
+    id,
+    unit::Generation,
+};
 use config::relay::Settings;
 use parking_lot::Mutex;
 use policy::{
     membership::{Membership, Record},
     relay::{
+        completed::CompletedRequests,
         crash_quarantine,
+        crash_suspects::Arrival,
         node_selection::Candidate,
         pool::Pools,
         registry::Registry,
@@ -64,6 +71,7 @@
     pub metrics: Metrics,
     pub(crate) log_limiter: LogLimiter,
     clock: Arc<dyn Clock>,
+    wall_clock: WallClock,
     rng: Mutex<ChaCha8Rng>,
     /// Routes of the configuration in force.
     pub(crate) route_table: ArcSwapOption<RouteTable>,
@@ -73,6 +81,8 @@
     pub(crate) pools: Mutex<Pools>,
     pub(crate) round_robin: Mutex<WeightedRoundRobin>,
     pub(crate) crash_quarantine: Mutex<crash_quarantine::CrashQuarantine>,
+    /// Requests that upstreams have lately run without a crash.
+    pub(crate) completed: Mutex<CompletedRequests>,
     pub(crate) connections: connection::ConnectionPools,
     pub(crate) suspected_upstreams: SuspectedUpstreams,
     /// When an upstream last replied to this node.
@@ -146,6 +156,7 @@
             platform,
             metrics: Metrics::new(),
             log_limiter: LogLimiter::new(settings.log_rate, now),
+            wall_clock: WallClock::new(clock.clone()),
             clock,
             rng: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
             route_table: ArcSwapOption::empty(),
@@ -157,6 +168,7 @@
             pools: Mutex::new(Pools::new(domain, bound, now)),
             round_robin: Mutex::new(WeightedRoundRobin::new()),
             crash_quarantine: Mutex::default(),
+            completed: Mutex::new(CompletedRequests::new(now)),
             connections: connection::ConnectionPools::new(),
             suspected_upstreams: SuspectedUpstreams::default(),
             last_reply: Mutex::default(),
@@ -210,6 +222,16 @@
         self.clock.now()
     }
 
+    /// Returns the arrival, at `now`, of the request with `fingerprint`.
+    pub(crate) fn new_arrival(&self, now: Instant, fingerprint: u64) -> Arrival {
+        let is_suspected = self.crash_quarantine.lock().is_suspected(now, fingerprint);
+        if is_suspected || !self.completed.lock().contains(now, fingerprint) {
+            return Arrival::new(self.random() as u32);
+        }
+        let unix = Duration::from_millis(self.wall_clock.unix_ms());
+        Arrival::of_proven(fingerprint, unix)
+    }
+
     /// Returns a random number.
     pub fn random(&self) -> u64 {
         self.rng.lock().next_u64()
