Upstreams that leave or ask for a rest by their replies are heard

Callers saw: an upstream that says in its replies that it leaves got requests until its registry entry said so, and one that asks to be left alone for a time was asked again after 150 ms. Cause: replies were read for what became of the request only. Neither header was known. Change: the border decodes both into a notice. A rest is kept for each process, also while its entry is missing; it is looked at when an upstream is chosen and again before bytes are written, bounded (300 s), spread over nodes, and followed by a trial. A pool that rests is no sample for admission; its callers are refused at once, with the end of the rest to return at.

--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -10,6 +10,7 @@
 pub mod crash_suspects;
 pub mod merge;
 pub mod node_selection;
+pub mod notice;
 pub mod pool;
 pub mod registry;
 pub mod request;
--- a/crates/policy/src/relay/pool.rs
+++ b/crates/policy/src/relay/pool.rs
@@ -14,6 +14,7 @@
 
 use super::{
     admission::{PoolAdmission, Sample},
+    notice::Rest,
     registry::{Availability, Entry, Registry},
     retry_budget::{RetryBound, RetryBudget},
     upstream::{AttemptEnd, Upstream, UpstreamStats},
@@ -64,6 +65,13 @@
     pub stuck: bool,
 }
 
+/// Instance and start of a process.
+type Process = (id::Instance, u64);
+
+fn process(entry: &Entry) -> Process {
+    (entry.instance.clone(), entry.born_ms)
+}
+
 #[derive(Debug)]
 struct Pool {
     /// Upstreams of the pool, sorted.
@@ -80,6 +88,8 @@
     process_start: Instant,
     pools: FastMap<id::Pool, Pool>,
     upstreams: FastMap<UpstreamHandle, Upstream>,
+    /// Rests of processes whose entries have been removed, and may return.
+    removed_rests: FastMap<Process, Rest>,
     /// Number of the newest handle.
     last_handle: u64,
     /// Registry version of the last [`Pools::sync`].
@@ -98,6 +108,7 @@
             process_start,
             pools: FastMap::default(),
             upstreams: FastMap::default(),
+            removed_rests: FastMap::default(),
             last_handle: 0,
             synced_version: None,
             node_count: None,
@@ -124,11 +135,10 @@
             return Vec::new();
         }
         self.synced_version = Some(registry.version());
-        type Process = (id::Instance, u64);
-        let process = |e: &Entry| -> Process { (e.instance.clone(), e.born_ms) };
         let mut old: FastMap<Process, (UpstreamHandle, Upstream)> =
             self.upstreams.drain().map(|(handle, u)| (process(&u.entry), (handle, u))).collect();
         self.pools.values_mut().for_each(|p| p.handles.clear());
+        self.removed_rests.retain(|_, rest| rest.end(now).is_some());
         for (entry, availability) in registry.usable() {
             let same_address =
                 |(_, u): &(UpstreamHandle, Upstream)| u.entry.address == entry.address;
@@ -136,7 +146,9 @@
                 Some((handle, upstream)) => (handle, upstream.stats),
                 None => {
                     self.last_handle += 1;
-                    (UpstreamHandle(self.last_handle), UpstreamStats::new(now, entry))
+                    let mut stats = UpstreamStats::new(now, entry);
+                    stats.set_rest(self.removed_rests.remove(&process(entry)).unwrap_or_default());
+                    (UpstreamHandle(self.last_handle), stats)
                 }
             };
             let upstream = Upstream { entry: entry.clone(), availability, stats };
@@ -144,6 +156,9 @@
             self.pool_mut(now, &entry.pool).handles.push(handle);
         }
         self.pools.values_mut().for_each(|p| p.handles.sort_unstable());
+        let resting = old.iter().filter(|(_, (_, u))| u.stats.rest().end(now).is_some());
+        self.removed_rests
+            .extend(resting.map(|(process, (_, u))| (process.clone(), u.stats.rest())));
         old.into_values().map(|(handle, _)| handle).collect()
     }
 
@@ -159,14 +174,44 @@
     }
 
     /// Returns whether `pool` has an upstream worth an attempt that is not in `tried`.
-    pub fn has_untried(&self, pool: &id::Pool, tried: &[UpstreamHandle]) -> bool {
+    pub fn has_untried(&self, now: Instant, pool: &id::Pool, tried: &[UpstreamHandle]) -> bool {
         let usable = |handle: &UpstreamHandle| {
             let upstream = self.upstreams.get(handle);
-            !tried.contains(handle) && upstream.is_some_and(|u| !u.stats.is_replaced())
+            !tried.contains(handle) && upstream.is_some_and(|u| u.stats.wants_requests(now))
         };
         self.pools.get(pool).is_some_and(|p| p.handles.iter().any(usable))
     }
 
+    /// Returns whether the upstream has asked for no requests until later than `now`.
+    pub fn is_resting(&self, now: Instant, handle: UpstreamHandle) -> bool {
+        self.upstreams.get(&handle).is_some_and(|u| u.stats.rest().end(now).is_some())
+    }
+
+    /// Returns when the first upstream of `pool` may be asked again; `None` if one may be asked now
+    /// or none has said when.
+    pub fn rest_end(&self, now: Instant, pool: &id::Pool) -> Option<Instant> {
+        let handles = self.pools.get(pool)?.handles.iter();
+        let upstreams = handles.filter_map(|handle| self.upstreams.get(handle));
+        let resting = upstreams.filter(|u| !u.stats.is_replaced()).map(|u| u.stats.rest().end(now));
+        resting.collect::<Option<Vec<Instant>>>()?.into_iter().min()
+    }
+
+    /// Records that an upstream wants no requests for `time`. `chance` is random, from 0 to 1.
+    /// Returns the end of its rest.
+    pub fn record_rest(
+        &mut self,
+        now: Instant,
+        handle: UpstreamHandle,
+        time: Duration,
+        chance: f64,
+    ) -> Option<Instant> {
+        let stats = &mut self.upstreams.get_mut(&handle)?.stats;
+        let mut rest = stats.rest();
+        rest.extend(now, time, chance);
+        stats.set_rest(rest);
+        rest.end(now)
+    }
+
     /// Chooses the upstream of `pool` with the lowest cost that is not in `tried`; `None` if
     /// there is none. `connection_limit` is the number of connections that each upstream accepts
     /// from all nodes together.
@@ -182,7 +227,7 @@
         let mut best: Option<(Duration, UpstreamHandle, &Upstream)> = None;
         for handle in pool.handles.iter().filter(|h| !tried.contains(h)) {
             let Some(upstream) = self.upstreams.get(handle) else { continue };
-            if upstream.stats.is_replaced() {
+            if !upstream.stats.wants_requests(now) {
                 continue;
             }
             let jitter = MAX_JITTER.mul_f64(rng.random::<f64>());
--- a/crates/policy/src/relay/registry.rs
+++ b/crates/policy/src/relay/registry.rs
@@ -290,6 +290,13 @@
                 // A process that drained before the restore may register as ready once more while
                 // its earlier writes are repeated.
                 let has_drained = departure.is_some_and(|d| d.has_drained_as(written));
+                if has_drained && !written.draining {
+                    let last_resort = old.and_then(|s| s.retained.clone());
+                    retained = last_resort.filter(|r| {
+                        r.availability == Availability::LastResort
+                            && r.entry.born_ms == written.born_ms
+                    });
+                }
                 Some(Arc::new(written.with_draining(has_drained)))
             }
             Change::Unusable => None,
@@ -418,6 +425,29 @@
         }
     }
 
+    /// Records that the process of `entry` has said itself that it leaves, whatever the platform lists
+    /// then or later. It remains a last resort for a time. Returns whether that was not known.
+    pub fn record_leaving(&mut self, now: Instant, entry: &Entry) -> bool {
+        let is_same = |e: &Arc<Entry>| e.instance == entry.instance && e.born_ms == entry.born_ms;
+        let is_known = |state: &&mut KeyState| {
+            let retained = state.retained.as_ref().map(|r| &r.entry);
+            state.entry.as_ref().is_some_and(is_same) || retained.is_some_and(is_same)
+        };
+        let Some(state) = self.keys.values_mut().find(is_known) else { return false };
+        if state.departure.is_some_and(|d| d.has_drained_as(entry)) {
+            return false;
+        }
+        state.departure = Departure::latest(state.departure, Departure::draining(entry));
+        let until = now + self.removal_grace;
+        let availability = Availability::LastResort;
+        state.retained = Some(Retained { entry: Arc::new(entry.clone()), until, availability });
+        if let Some(listed) = state.entry.as_mut().filter(|e| is_same(e)) {
+            *listed = Arc::new(listed.with_draining(true));
+        }
+        self.version += 1;
+        true
+    }
+
     /// Drops entries that were retained and ends withholding when their time is over. Must be
     /// called several times a second.
     pub fn expire_removed(&mut self, now: Instant) {
--- a/crates/policy/src/relay/request.rs
+++ b/crates/policy/src/relay/request.rs
@@ -129,6 +129,8 @@
     exhausted: bool,
     /// The pool is short of capacity and not expected to serve this request.
     short: bool,
+    /// All its upstreams have asked for no requests for a time.
+    resting: bool,
 }
 
 /// State of one request.
@@ -200,6 +202,8 @@
             let sample = match state {
                 PoolState { short: true, .. } if self.refused => Sample::Refused,
                 PoolState { replied: true, .. } => Sample::Served,
+                // Its upstreams say themselves when they may be asked again.
+                PoolState { resting: true, .. } => continue,
                 PoolState { exhausted: true, .. } => Sample::Failed,
                 PoolState { tried, .. } if late && !tried.is_empty() => Sample::Failed,
                 // The pool might have replied if the request had not ended early.
@@ -270,7 +274,7 @@
         }
         let mut due = Vec::new();
         if self.attempts_sent() == 0 && !self.hopeless {
-            self.find_pools_without_upstream(pools);
+            self.find_pools_without_upstream(now, pools);
         }
         if self.hopeless {
             return due;
@@ -285,12 +289,14 @@
 
     /// Marks the pools that have no upstream. If too few are left for an answer, the others must not
     /// run the request in vain.
-    fn find_pools_without_upstream(&mut self, pools: &Pools) {
+    fn find_pools_without_upstream(&mut self, now: Instant, pools: &Pools) {
         for pool_index in 0..self.pools.len() {
-            let has_upstream = pools.has_untried(&self.plan.pools[pool_index], &[]);
-            if !has_upstream && !self.pools[pool_index].exhausted {
-                self.mark_exhausted(pool_index);
+            let pool = &self.plan.pools[pool_index];
+            if pools.has_untried(now, pool, &[]) || self.pools[pool_index].exhausted {
+                continue;
             }
+            self.pools[pool_index].resting = pools.rest_end(now, pool).is_some();
+            self.mark_exhausted(pool_index);
         }
         self.hopeless = self.pools.len() - self.exhausted < self.plan.min_replies;
     }
@@ -336,7 +342,7 @@
             self.mark_exhausted(pool_index);
             return None;
         }
-        if !is_first && !pools.has_untried(pool, &state.tried) {
+        if !is_first && !pools.has_untried(now, pool, &state.tried) {
             if idle {
                 self.mark_exhausted(pool_index);
             } else {
@@ -435,8 +441,10 @@
         let ends = || self.pools.iter().filter_map(|p| p.last_end);
         let reason = if self.exhausted == 0 {
             Reason::Deadline
-        } else if self.pools.iter().any(|p| p.exhausted && p.tried.is_empty()) {
+        } else if self.pools.iter().any(|p| p.exhausted && p.tried.is_empty() && !p.resting) {
             Reason::Unreachable
+        } else if self.pools.iter().any(|p| p.resting) {
+            Reason::Overload
         } else if ends().any(|e| matches!(e, AttemptEnd::Reply { success: false })) {
             Reason::Failed
         } else if ends().any(|e| e == AttemptEnd::ConnectionLost) {
@@ -451,6 +459,12 @@
         Completion::Failed { fate, reason }
     }
 
+    /// Returns when the pools that have not replied may be asked again, if upstreams have said so.
+    pub fn rest_end(&self, now: Instant, pools: &Pools) -> Option<Instant> {
+        let missing = self.pools.iter().zip(&self.plan.pools).filter(|(p, _)| !p.replied);
+        missing.filter_map(|(_, pool)| pools.rest_end(now, pool)).max()
+    }
+
     /// Returns the combined fate of all attempts. An attempt in flight may have run.
     pub fn fate(&self) -> Fate {
         let of = |p: &PoolState| {
--- a/crates/policy/src/relay/retry_after.rs
+++ b/crates/policy/src/relay/retry_after.rs
@@ -6,7 +6,7 @@
 //! upstream can serve waits until that may have changed. Delays are jittered so that callers do
 //! not retry together.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::crash_quarantine;
 use crate::outcome::Reason;
@@ -33,6 +33,13 @@
     }
 }
 
+/// Returns the delay of a caller whose request can be served from `rest_end` on, when upstreams
+/// may be asked again, for a random `chance` from 0 to 1: not before, and spread.
+pub fn after_rest(now: Instant, rest_end: Instant, chance: f64) -> Duration {
+    let rest = rest_end.saturating_duration_since(now);
+    rest + SOON_DELAY.max(rest / 2).mul_f64(chance)
+}
+
 /// Returns a delay from 0.5 to 1.5 times `typical`, for a random `chance` from 0 to 1.
 pub fn jittered(typical: Duration, chance: f64) -> Duration {
     typical.mul_f64(0.5 + chance)
--- a/crates/policy/src/relay/upstream.rs
+++ b/crates/policy/src/relay/upstream.rs
@@ -5,7 +5,10 @@
     time::{Duration, Instant},
 };
 
-use super::registry::{Availability, Entry};
+use super::{
+    notice::Rest,
+    registry::{Availability, Entry},
+};
 use crate::outcome::Fate;
 
 /// Number of latencies of which the median is taken: a single pause of the upstream does not
@@ -102,6 +105,8 @@
     down_until: Option<Instant>,
     replaced: bool,
     cold_until: Instant,
+    /// Rest that the upstream has asked for.
+    rest: Rest,
 }
 
 impl UpstreamStats {
@@ -119,6 +124,7 @@
             down_until: None,
             replaced: false,
             cold_until: now + entry.cold,
+            rest: Rest::default(),
         }
     }
 
@@ -134,6 +140,7 @@
         }
         match end {
             AttemptEnd::Reply { success } => {
+                self.rest.record_run(sent);
                 self.connect_failures = 0;
                 self.down_until = None;
                 self.record_latency(now, now.saturating_duration_since(sent));
@@ -167,6 +174,21 @@
         self.down_until = Some(now + backoff.min(MAX_CONNECT_BACKOFF));
     }
 
+    /// Sets the rest that the upstream has asked for.
+    pub fn set_rest(&mut self, rest: Rest) {
+        self.rest = rest;
+    }
+
+    /// Returns the rest that the upstream has asked for.
+    pub fn rest(&self) -> Rest {
+        self.rest
+    }
+
+    /// Returns whether a request may be sent to the upstream, as far as its own replies say.
+    pub fn wants_requests(&self, now: Instant) -> bool {
+        !self.replaced && self.rest.allows(now, self.in_flight.len())
+    }
+
     /// Returns the number of attempts in flight.
     pub fn in_flight(&self) -> usize {
         self.in_flight.len()
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -14,7 +14,7 @@
 
 use base::hash::FastMap;
 use bytes::{Bytes, BytesMut};
-use http::{Request, Response};
+use http::{Request, Response, response};
 use http_body_util::{BodyExt, Full};
 use hyper::{
     body::Incoming,
@@ -32,7 +32,7 @@
     interface::{ReplyKind, ReplyMetadata},
     memory::Reservation,
     node::Node,
-    socket,
+    notice, socket,
 };
 
 /// Timeout for connecting: many times the latency to any upstream of a region.
@@ -230,6 +230,8 @@
     pub deadline: Instant,
     /// Whether the request may run more than once.
     pub repeatable: bool,
+    /// Upstream that it is sent to.
+    pub handle: UpstreamHandle,
     /// Identifies the request if the upstream crashes while it runs.
     pub suspect: Suspect,
 }
@@ -261,10 +263,14 @@
             self.release(&node, connection, None);
             return AttemptResult::failed(AttemptEnd::NotSent, "no time was left to send it");
         }
-        let AttemptRequest { mut request, request_id, suspect, .. } = message;
+        if node.pools.lock().is_resting(now, message.handle) {
+            self.release(&node, connection, None);
+            return AttemptResult::failed(AttemptEnd::Refused, "the upstream wants no requests");
+        }
+        let AttemptRequest { mut request, request_id, handle, suspect, .. } = message;
         node.codec.write_attempt(request.headers_mut(), &entry.instance, left);
         let interim = limit_interim_responses(&mut request);
-        let run = RunGuard::new(node.clone(), self.clone(), entry, suspect);
+        let run = RunGuard::new(node.clone(), self.clone(), entry.clone(), suspect);
         let sent = tokio::select! {
             biased;
             sent = connection.sender.try_send_request(request) => sent,
@@ -286,19 +292,22 @@
                 return AttemptResult::failed(end, error_chain(e.error()));
             }
         };
-        self.receive(&node, connection, &request_id, response, run).await
+        let (head, body) = response.into_parts();
+        let metadata = node.codec.read_reply(&request_id, &head);
+        if metadata.kind != ReplyKind::InstanceReplaced {
+            notice::record(&node, handle, &entry, &request_id, metadata.notice);
+        }
+        self.receive(&node, connection, (head, metadata), body, run).await
     }
 
     async fn receive(
         &self,
         node: &Node,
         mut connection: Connection,
-        request_id: &http::HeaderValue,
-        response: Response<Incoming>,
+        (head, metadata): (response::Parts, ReplyMetadata),
+        body: Incoming,
         run: RunGuard,
     ) -> AttemptResult {
-        let (head, body) = response.into_parts();
-        let metadata = node.codec.read_reply(request_id, &head);
         if metadata.id_mismatch {
             // Replies on this connection no longer match their requests, so it is not reused.
             return AttemptResult::failed(AttemptEnd::BadReply, "the reply names another request");
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -324,6 +324,7 @@
             request_id: self.request_id.clone(),
             deadline,
             repeatable: self.route.repeatable,
+            handle: choice.handle,
             suspect: Suspect { after_loss: cause.is_after_loss(), ..self.suspect.clone() },
         };
         let instance = choice.entry.instance.clone();
@@ -377,7 +378,11 @@
                     relay_reply(reply)
                 }
                 _ => {
-                    let delay = jittered(node, retry_after::delay(reason));
+                    let rest_end = state.rest_end(now, &node.pools.lock());
+                    let delay = match rest_end {
+                        Some(end) => retry_after::after_rest(now, end, node.chance()),
+                        None => jittered(node, retry_after::delay(reason)),
+                    };
                     response::failure(fate, reason, Some(delay))
                 }
             },
@@ -409,7 +414,7 @@
 
 /// Returns a random delay around `typical`, so that callers do not come back all at once.
 fn jittered(node: &Node, typical: Duration) -> Duration {
-    retry_after::jittered(typical, node.with_rng(|rng| rng.random()))
+    retry_after::jittered(typical, node.chance())
 }
 
 /// Returns the response that relays a single upstream's reply.
--- a/crates/relay/src/interface.rs
+++ b/crates/relay/src/interface.rs
@@ -8,6 +8,7 @@
 };
 use http::{HeaderMap, HeaderValue, request, response};
 use policy::relay::{
+    notice::Notice,
     registry::{Event, MergeError},
     route::RouteTable,
 };
@@ -37,6 +38,8 @@
     /// Time after which the upstream closes an idle connection; `None` if the reply does not
     /// state it.
     pub idle_timeout: Option<Duration>,
+    /// What the upstream says of itself.
+    pub notice: Notice,
 }
 
 /// Whether a replied request ran.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod memory;
 pub mod metrics;
 pub mod node;
+mod notice;
 pub mod peer;
 pub mod platform_watch;
 mod request_log;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -35,6 +35,8 @@
     pub platform_calls: IntCounterVec,
     /// Values published by the platform that were rejected.
     pub invalid_values: IntCounter,
+    /// Replies by which an upstream changed what it wants, by kind.
+    pub upstream_notices: IntCounterVec,
     /// Calls to peers by result.
     pub peer_calls: IntCounterVec,
     /// Attempts that ended as if their upstream had crashed, by end.
@@ -116,6 +118,10 @@
                 let help = "Values in the platform's service that were of no use";
                 register(&r, IntCounter::new("balsamgate_platform_unusable_total", help))
             },
+            upstream_notices: {
+                let help = "Replies by which an upstream changed what it wants";
+                counters(&r, "upstream_notices_total", help, &["kind"])
+            },
             peer_calls: counters(&r, "peer_calls_total", "Calls to peers", &["result"]),
             crash_losses: {
                 let help = "Attempts that ended as if the upstream had crashed";
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -31,7 +31,7 @@
         route::{RouteTable, WeightedRoundRobin},
     },
 };
-use rand::{RngCore, SeedableRng};
+use rand::{Rng, RngCore, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use smol_str::SmolStr;
 use tokio::sync::{Notify, Semaphore};
@@ -237,6 +237,11 @@
         self.rng.lock().next_u64()
     }
 
+    /// Returns a random number from 0 to 1.
+    pub(crate) fn chance(&self) -> f64 {
+        self.with_rng(|rng| rng.random())
+    }
+
     pub(crate) fn with_rng<T>(&self, f: impl FnOnce(&mut dyn RngCore) -> T) -> T {
         f(&mut *self.rng.lock())
     }
