The soak plays upstreams that leave or rest by their replies alone

Change: upstreams of a pool, one or all, leave by the header alone or turn requests away for a second. Checked from what upstreams saw, per node, with the stated excuses: restart or suspension of the node, and faults of its link to the upstream.

--- a/crates/balsamgate/tests/notices.rs
+++ b/crates/balsamgate/tests/notices.rs
@@ -79,7 +79,7 @@
 
 /// Counts requests that arrived at `upstream` between `from` and `to`.
 fn arrivals(upstream: &Upstream, from: Instant, to: Instant) -> usize {
-    upstream.arrivals().into_iter().filter(|at| *at > from && *at < to).count()
+    upstream.arrivals().into_iter().filter(|a| a.at > from && a.at < to).count()
 }
 
 /// An upstream that leaves by its replies alone, among `leaving` of its pool.
@@ -149,7 +149,8 @@
     testbed.send_for(path, REST_GRACE).await;
     let first: Vec<Instant> = rests
         .iter()
-        .map(|u| u.arrivals().into_iter().find(|at| *at > asked).expect("it was asked"))
+        .map(|u| u.arrivals().into_iter().map(|a| a.at).find(|at| *at > asked))
+        .map(|first| first.expect("it was asked"))
         .collect();
     let earliest = *first.iter().min().expect("one rests");
     let answer = testbed.send(path).await;
--- a/crates/balsamgate/tests/soak.rs
+++ b/crates/balsamgate/tests/soak.rs
@@ -42,6 +42,12 @@
 /// Upstreams of each pool at the start.
 const UPSTREAMS: usize = 2;
 const CALLERS: usize = 8;
+/// Rest that upstreams ask for.
+const REST: Duration = Duration::from_secs(1);
+/// Time after a refusal within which further requests may still reach the upstream.
+const REST_GRACE: Duration = Duration::from_millis(500);
+/// Requests that may reach an upstream from a node in its rest.
+const MAX_DURING_REST: usize = 2;
 /// Time within which upstreams write their entries again after a restore of the store.
 const REWRITE_TIME: Duration = Duration::from_millis(1_200);
 /// Time after which the store removes entries that are not renewed.
@@ -51,6 +57,14 @@
 /// Time during which faults are started.
 const FAULT_DURATION: Duration = Duration::from_secs(8);
 
+/// What a fault disturbs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Disturbed {
+    Node(usize),
+    /// The link of the upstream with this instance.
+    Link(String),
+}
+
 /// State shared by the callers and faults of one seed.
 #[derive(Debug)]
 struct World {
@@ -66,6 +80,12 @@
     version: AtomicU64,
     next_id: AtomicU64,
     stop: AtomicBool,
+    /// Faults of nodes and of links to upstreams, with their times.
+    disturbances: Mutex<Vec<(Disturbed, Instant, Instant)>>,
+    /// Node that each request was sent to, and when, by request id.
+    sent: Mutex<HashMap<String, (usize, Instant)>>,
+    /// Signatures in the answers of nodes, and when the caller got them.
+    answered: Mutex<Vec<(usize, Instant, String)>>,
     /// Ids and results of non-idempotent requests.
     once: Mutex<Vec<(String, Result<Answer, RequestError>)>>,
     violations: Mutex<Vec<String>>,
@@ -82,6 +102,77 @@
         *self.counts.lock().entry(name.to_owned()).or_default() += 1;
     }
 
+    /// Records a fault that ends now.
+    fn record_disturbance(&self, what: Disturbed, from: Instant) {
+        self.disturbances.lock().push((what, from, Instant::now()));
+    }
+
+    /// Returns whether a fault of `what` overlaps the time between `from` and `to`.
+    fn was_disturbed(&self, what: &Disturbed, from: Instant, to: Instant) -> bool {
+        let disturbances = self.disturbances.lock();
+        disturbances.iter().any(|(w, start, end)| w == what && *start <= to && *end >= from)
+    }
+
+    /// Checks that no request reaches an upstream from a node that was sent to it later than the drain
+    /// time after the node had passed on a reply of that upstream which said that it leaves.
+    fn check_leaving(&self) {
+        let sent = self.sent.lock();
+        for (upstream, _) in self.upstreams.lock().iter() {
+            let mut passed_on: HashMap<usize, Instant> = HashMap::new();
+            for (node, at, signature) in self.answered.lock().iter() {
+                if upstream.said_leaving(signature) {
+                    let first = passed_on.entry(*node).or_insert(*at);
+                    *first = (*at).min(*first);
+                }
+            }
+            for arrival in upstream.arrivals() {
+                let Some((node, sent_at)) = sent.get(&arrival.request_id) else { continue };
+                let Some(told) = passed_on.get(node) else { continue };
+                let is_late = *sent_at > *told + fleet::DRAIN;
+                if is_late && !self.was_disturbed(&Disturbed::Node(*node), *told, arrival.at) {
+                    self.record_violation(format!(
+                        "{} reached {} from node {node}, {:?} after it had said that it leaves",
+                        arrival.request_id,
+                        upstream.instance(),
+                        *sent_at - *told
+                    ));
+                }
+            }
+        }
+    }
+
+    /// Checks that an upstream which has turned away a request of a node gets at most
+    /// [`MAX_DURING_REST`] from that node in the rest that it has asked for.
+    fn check_rests(&self) {
+        let sent = self.sent.lock();
+        for (upstream, _) in self.upstreams.lock().iter() {
+            let node_of = |id: &str| sent.get(id).map(|(node, _)| *node);
+            let arrivals = upstream.arrivals();
+            let link = Disturbed::Link(upstream.instance().to_owned());
+            for refusal in arrivals.iter().filter(|a| a.turned_away) {
+                let Some(node) = node_of(&refusal.request_id) else { continue };
+                let (from, to) = (refusal.at + REST_GRACE, refusal.at + REST);
+                let excused =
+                    |what: &Disturbed| self.was_disturbed(what, refusal.at - REST_GRACE, to);
+                if excused(&Disturbed::Node(node)) || excused(&link) {
+                    continue;
+                }
+                let during = arrivals
+                    .iter()
+                    .filter(|a| a.at > from && a.at < to && node_of(&a.request_id) == Some(node))
+                    .count();
+                if during > MAX_DURING_REST {
+                    self.record_violation(format!(
+                        "{during} requests reached {} from node {node} in its rest after {}",
+                        upstream.instance(),
+                        refusal.request_id
+                    ));
+                    break;
+                }
+            }
+        }
+    }
+
     /// Excuses failures of `node` for `time` and for 3 s of recovery after it.
     fn disturb(&self, node: usize, time: Duration) {
         let until = Instant::now() + time + Duration::from_secs(3);
@@ -217,17 +308,26 @@
             timeout: Duration::from_millis(1_500),
             body: if once { Bytes::from(number.to_string()) } else { Bytes::new() },
         };
+        let node = directories.iter().position(|d| d.ip() == address.ip());
+        if let Some(node) = node {
+            world.sent.lock().insert(request.id.clone(), (node, Instant::now()));
+        }
         let result = connection.send(&request).await;
         match &result {
             Ok(answer) => {
                 world.count(&format!("{kind} {}", answer.status));
+                let signatures = answer.merged_signatures.iter().chain(&answer.signature);
+                if let Some(node) = node {
+                    let now = Instant::now();
+                    let answered = signatures.map(|s| (node, now, s.clone()));
+                    world.answered.lock().extend(answered);
+                }
                 if !once {
                     world.check_search(&request.id, &request.path, answer);
                 }
             }
             Err(failure) => {
                 world.count(&format!("{kind} {failure:?}"));
-                let node = directories.iter().position(|d| d.ip() == address.ip());
                 let excused = node.is_some_and(|n| world.is_disturbed(n));
                 if *failure == RequestError::Disconnected && !excused {
                     world.record_violation(format!(
@@ -254,7 +354,8 @@
     let time = Duration::from_millis(rng.random_range(200..2_000));
     let count = world.fleet.lock().await.nodes.len();
     let node = rng.random_range(0..count);
-    let kind = rng.random_range(0..9);
+    let kind = rng.random_range(0..11);
+    let start = Instant::now();
     match kind {
         0 => {
             world.count("fault: node killed");
@@ -264,6 +365,7 @@
             let mut fleet = world.fleet.lock().await;
             fleet.nodes[node].kill();
             fleet.nodes[node].start();
+            world.record_disturbance(Disturbed::Node(node), start);
         }
         1 => {
             world.count("fault: node suspended");
@@ -271,6 +373,7 @@
             world.fleet.lock().await.nodes[node].signal("-STOP");
             tokio::time::sleep(time).await;
             world.fleet.lock().await.nodes[node].signal("-CONT");
+            world.record_disturbance(Disturbed::Node(node), start);
         }
         2 => {
             if !world.stopping.lock().insert(node) {
@@ -302,6 +405,7 @@
             fleet.nodes[node].kill();
             fleet.nodes[node].start();
             world.stopping.lock().remove(&node);
+            world.record_disturbance(Disturbed::Node(node), start);
         }
         3 | 4 => {
             let modes = [
@@ -312,17 +416,21 @@
                 Mode::Reset,
             ];
             let mode = *modes.choose(&mut rng).expect("modes");
-            let proxy = match kind {
+            let (proxy, link) = match kind {
                 3 => {
                     let upstreams = world.upstreams.lock();
-                    upstreams.choose(&mut rng).expect("upstreams").1.clone()
+                    let (upstream, proxy) = upstreams.choose(&mut rng).expect("upstreams");
+                    (proxy.clone(), Some(upstream.instance().to_owned()))
                 }
-                _ => world.store_proxy.clone(),
+                _ => (world.store_proxy.clone(), None),
             };
             world.count(&format!("fault: link {mode:?}").replace(char::is_numeric, ""));
             proxy.set_mode(mode);
             tokio::time::sleep(time).await;
             proxy.set_mode(Mode::Pass);
+            if let Some(instance) = link {
+                world.record_disturbance(Disturbed::Link(instance), start);
+            }
         }
         5 => {
             let mode = if rng.random_bool(0.5) { StoreMode::Busy } else { StoreMode::Silent };
@@ -349,6 +457,32 @@
             tokio::time::sleep(time).await;
             upstream.set_faults(Faults::default());
         }
+        9 => {
+            let (pool, all) = (random_pool(&world, &mut rng), rng.random_bool(0.3));
+            world.count("fault: upstreams leave by their replies alone");
+            let mut leaving = running(&world, &pool);
+            leaving.truncate(if all { leaving.len() } else { 1 });
+            for _ in &leaving {
+                let number = world.next_id.fetch_add(1, Ordering::Relaxed) as usize;
+                let new = start_upstream(&world.store, &pool, 100 + number).await;
+                world.upstreams.lock().push(new);
+            }
+            let faults = Faults { says_leaving: true, ..Faults::default() };
+            leaving.iter().for_each(|u| u.set_faults(faults.clone()));
+            tokio::time::sleep(2 * fleet::DRAIN).await;
+            leaving.iter().for_each(|u| u.crash(true));
+        }
+        10 => {
+            let (pool, all) = (random_pool(&world, &mut rng), rng.random_bool(0.3));
+            world.count("fault: upstreams ask for a rest");
+            let mut resting = running(&world, &pool);
+            resting.truncate(if all { resting.len() } else { 1 });
+            let retry_after = Some(REST.as_secs().to_string());
+            let faults = Faults { retry_after, ..Faults::default() };
+            resting.iter().for_each(|u| u.set_faults(faults.clone()));
+            tokio::time::sleep(time).await;
+            resting.iter().for_each(|u| u.set_faults(Faults::default()));
+        }
         7 => {
             world.count("fault: configuration changed");
             let version = world.version.fetch_add(rng.random_range(1..4), Ordering::Relaxed) + 10;
@@ -371,6 +505,18 @@
     }
 }
 
+/// Returns one of the pools.
+fn random_pool(world: &World, rng: &mut ChaCha8Rng) -> String {
+    world.upstreams.lock().choose(rng).expect("at least one upstream").0.pool().to_owned()
+}
+
+/// Returns the upstreams of `pool` that run and do not leave.
+fn running(world: &World, pool: &str) -> Vec<Upstream> {
+    let upstreams = world.upstreams.lock();
+    let running = upstreams.iter().filter(|(u, _)| u.pool() == pool && !u.has_ended());
+    running.map(|(u, _)| u.clone()).collect()
+}
+
 /// Restores the store from a copy that is up to 2.5 s old. What the operator and the upstreams have
 /// written is then written again, and entries of upstreams that have ended lapse.
 async fn restore_store(world: Arc<World>, seed: u64) {
@@ -421,6 +567,9 @@
         version: AtomicU64::new(1),
         next_id: AtomicU64::new(1),
         stop: AtomicBool::new(false),
+        disturbances: Mutex::default(),
+        sent: Mutex::default(),
+        answered: Mutex::default(),
         once: Mutex::default(),
         violations: Mutex::default(),
         counts: Mutex::default(),
@@ -447,6 +596,8 @@
         caller.await.expect("the caller task does not panic");
     }
     world.check_once();
+    world.check_leaving();
+    world.check_rests();
     cancel.cancel();
     let violations = world.violations.lock().clone();
     if !violations.is_empty() {
