Notices and reports take their locks in one order, and evictions by ignored reports are counted

A rest drew its random number with the pools locked, while attempts lock the pools with the generator locked: no harm on one thread, a deadlock on several. An ignored report could evict another one uncounted. Two functions of the registry repeated a search. Change: the number is drawn before; the eviction is counted as table_full; KeyState::holds.

--- a/crates/policy/src/relay/crash_quarantine.rs
+++ b/crates/policy/src/relay/crash_quarantine.rs
@@ -211,12 +211,14 @@
         self.suspects.get(&fingerprint).filter(is_earlier).is_some()
     }
 
-    /// Ignores the report on `arrival` of a request from now on.
-    pub fn ignore(&mut self, now: Instant, fingerprint: u64, arrival: u32) {
-        self.make_room(now, fingerprint);
+    /// Ignores the report on `arrival` of a request from now on. Returns the fingerprint whose reports
+    /// were evicted because the table was full.
+    pub fn ignore(&mut self, now: Instant, fingerprint: u64, arrival: u32) -> Option<u64> {
+        let evicted = self.make_room(now, fingerprint);
         let suspect = self.suspect_mut(now, fingerprint);
         suspect.forgotten_at = suspect.forgotten_at.max(now + OUTAGE_SPREAD);
         suspect.withdraw([arrival]);
+        evicted
     }
 
     /// Returns whether the request must be refused, for an arrival of it. Renews the quarantine if
--- a/crates/policy/src/relay/registry.rs
+++ b/crates/policy/src/relay/registry.rs
@@ -428,12 +428,7 @@
     /// Records that the process of `entry` has said itself that it leaves, whatever the platform lists
     /// then or later. It remains a last resort for a time. Returns whether that was not known.
     pub fn record_leaving(&mut self, now: Instant, entry: &Entry) -> bool {
-        let is_same = |e: &Arc<Entry>| e.instance == entry.instance && e.born_ms == entry.born_ms;
-        let is_known = |state: &&mut KeyState| {
-            let retained = state.retained.as_ref().map(|r| &r.entry);
-            state.entry.as_ref().is_some_and(is_same) || retained.is_some_and(is_same)
-        };
-        let Some(state) = self.keys.values_mut().find(is_known) else { return false };
+        let Some(state) = self.keys.values_mut().find(|s| s.holds(entry)) else { return false };
         if state.departure.is_some_and(|d| d.has_drained_as(entry)) {
             return false;
         }
@@ -441,7 +436,7 @@
         let until = now + self.removal_grace;
         let availability = Availability::LastResort;
         state.retained = Some(Retained { entry: Arc::new(entry.clone()), until, availability });
-        if let Some(listed) = state.entry.as_mut().filter(|e| is_same(e)) {
+        if let Some(listed) = state.entry.as_mut().filter(|e| e.born_ms == entry.born_ms) {
             *listed = Arc::new(listed.with_draining(true));
         }
         self.version += 1;
@@ -483,14 +478,9 @@
     /// Returns whether the process of `entry` is neither listed nor retained any more, and had not
     /// announced that it drains.
     pub fn has_gone(&self, entry: &Entry) -> bool {
-        let is_same = |e: &Arc<Entry>| e.instance == entry.instance && e.born_ms == entry.born_ms;
-        let is_known = |state: &KeyState| {
-            let retained = state.retained.as_ref().map(|r| &r.entry);
-            state.entry.as_ref().is_some_and(is_same) || retained.is_some_and(is_same)
-        };
         let has_drained =
             |state: &KeyState| state.departure.is_some_and(|d| d.has_drained_as(entry));
-        !entry.draining && !self.keys.values().any(|s| is_known(s) || has_drained(s))
+        !entry.draining && !self.keys.values().any(|s| s.holds(entry) || has_drained(s))
     }
 
     /// Returns the number of pools with a ready upstream, by failure domain.
--- a/crates/policy/src/relay/registry/key_state.rs
+++ b/crates/policy/src/relay/registry/key_state.rs
@@ -49,6 +49,13 @@
         entry.into_iter().chain(unlisted.map(|r| &r.entry)).max_by_key(|e| e.born_ms)
     }
 
+    /// Returns whether the process of `entry` is listed or retained under this key.
+    pub(super) fn holds(&self, entry: &Entry) -> bool {
+        let retained = self.retained.as_ref().map(|r| &r.entry);
+        let mut held = self.entry.iter().chain(retained);
+        held.any(|e| e.instance == entry.instance && e.born_ms == entry.born_ms)
+    }
+
     /// Removes expired limits. Returns whether there was one.
     pub(super) fn expire(&mut self, now: Instant) -> bool {
         let expired = self.retained.take_if(|r| r.until <= now);
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -13,7 +13,7 @@
 use policy::{
     membership::MAX_CRASH_REPORTS,
     relay::{
-        crash_quarantine::{Change, CrashReport, Recorded},
+        crash_quarantine::{Change, CrashQuarantine, CrashReport, Recorded},
         crash_suspects::{Suspect, is_second_report},
         registry::Entry,
         upstream::AttemptEnd,
@@ -166,14 +166,8 @@
     let origin = if from.is_some() { "peer" } else { "own" };
     let recorded: Vec<(CrashReport, Recorded)> = {
         let mut quarantine = node.crash_quarantine.lock();
-        let completed = node.completed.lock();
-        for CrashReport { fingerprint, arrival, .. } in reports.iter().copied() {
-            // A peer that has not run the request lately takes its first loss for conclusive.
-            let is_proven =
-                completed.contains(now, fingerprint) && !quarantine.is_suspected(now, fingerprint);
-            if from.is_some() && is_second_report(arrival) && is_proven {
-                quarantine.ignore(now, fingerprint, arrival);
-            }
+        if from.is_some() {
+            ignore_conclusive(node, &mut quarantine, reports);
         }
         reports.iter().map(|report| (*report, quarantine.record(now, *report))).collect()
     };
@@ -239,6 +233,22 @@
     tokio::spawn(fetch(node.clone(), from));
 }
 
+/// Ignores the second reports among `reports` of peers on requests that this node has lately seen
+/// completed: a peer that has not takes its first losses for conclusive.
+fn ignore_conclusive(node: &Node, quarantine: &mut CrashQuarantine, reports: &[CrashReport]) {
+    let now = node.now();
+    let completed = node.completed.lock();
+    for CrashReport { fingerprint, arrival, .. } in reports.iter().copied() {
+        let is_proven = completed.contains(now, fingerprint);
+        if !is_second_report(arrival) || !is_proven || quarantine.is_suspected(now, fingerprint) {
+            continue;
+        }
+        if let Some(evicted) = quarantine.ignore(now, fingerprint, arrival) {
+            dropped(node, Some(evicted), 1, DropCause::TableFull);
+        }
+    }
+}
+
 async fn fetch(node: Arc<Node>, from: id::Node) {
     match peer::fetch_crash_reports(&node, from).await {
         Ok(reports) => {
--- a/crates/relay/src/notice.rs
+++ b/crates/relay/src/notice.rs
@@ -29,7 +29,8 @@
         platform_watch::sync_pools(node);
     }
     let Some(time) = notice.rest else { return };
-    let rest_end = node.pools.lock().record_rest(now, handle, time, node.chance());
+    let chance = node.chance();
+    let rest_end = node.pools.lock().record_rest(now, handle, time, chance);
     node.metrics.upstream_notices.with_label_values(&["rest"]).inc();
     if node.log_limiter.allows(now, LogKind::RoutingState) {
         let rest_ms = rest_end.map(|end| end.saturating_duration_since(now).as_millis() as u64);
