Reports on a proven request count once in an outage, whichever node sends them

Cause, by reading: a node that had lately not seen a request complete reported its losses with ids of its own, and a node that had lost it itself forgot at once that it had completed; two ids quarantine it. Change: a node remembers the completion; in the first 2 s of an outage it takes one report on the request and ignores the others.

--- a/crates/policy/src/relay/completed.rs
+++ b/crates/policy/src/relay/completed.rs
@@ -48,10 +48,4 @@
         age < 2 * GENERATION_TIME
             && (self.current.contains_key(&fingerprint) || self.previous.contains_key(&fingerprint))
     }
-
-    /// Forgets a request under which an upstream has crashed.
-    pub fn remove(&mut self, fingerprint: u64) {
-        self.current.remove(&fingerprint);
-        self.previous.remove(&fingerprint);
-    }
 }
--- a/crates/policy/src/relay/crash_quarantine.rs
+++ b/crates/policy/src/relay/crash_quarantine.rs
@@ -36,7 +36,7 @@
 /// silent ones included.
 const OUTAGE_SPREAD: Duration = Duration::from_secs(2);
 /// Largest number of withdrawn reports remembered for one request.
-const MAX_WITHDRAWN: usize = 8;
+const MAX_WITHDRAWN: usize = 64;
 /// Time for which reports on a request that is not refused are passed on. Later they matter only
 /// to nodes that have restarted since.
 const GOSSIP_TIME: Duration = Duration::from_secs(60);
@@ -211,6 +211,12 @@
         self.suspects.get(&fingerprint).filter(is_earlier).is_some()
     }
 
+    /// Returns whether `arrival` is the only reported one of a request, or would be.
+    pub fn is_first(&self, now: Instant, fingerprint: u64, arrival: u32) -> bool {
+        let suspect = self.suspects.get(&fingerprint).filter(|s| s.forgotten_at > now);
+        suspect.is_none_or(|s| s.arrivals.iter().all(|known| *known == arrival))
+    }
+
     /// Ignores the report on `arrival` of a request from now on. Returns the fingerprint whose reports
     /// were evicted because the table was full.
     pub fn ignore(&mut self, now: Instant, fingerprint: u64, arrival: u32) -> Option<u64> {
--- a/crates/policy/src/relay/crash_suspects.rs
+++ b/crates/policy/src/relay/crash_suspects.rs
@@ -105,11 +105,6 @@
     (hash::stable(&[pool.as_str().as_bytes()]) as u32) << 16
 }
 
-/// Returns whether the reported `arrival` is the second report on one that is conclusive by itself.
-pub fn is_second_report(arrival: u32) -> bool {
-    arrival & 1 == 1
-}
-
 /// Returns whether `pool` lost an upstream under the reported `arrival`, the first if several did.
 pub fn names_pool(arrival: u32, pool: &id::Pool) -> bool {
     arrival & 0xffff_0000 == pool_tag(pool)
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -14,7 +14,7 @@
     membership::MAX_CRASH_REPORTS,
     relay::{
         crash_quarantine::{Change, CrashQuarantine, CrashReport, Recorded},
-        crash_suspects::{Suspect, is_second_report},
+        crash_suspects::Suspect,
         registry::Entry,
         upstream::AttemptEnd,
     },
@@ -144,9 +144,6 @@
         }
     }
     let now = node.now();
-    let mut completed = node.completed.lock();
-    suspects.iter().for_each(|s| completed.remove(s.fingerprint));
-    drop(completed);
     let reports: Vec<CrashReport> = {
         let quarantine = node.crash_quarantine.lock();
         let report = |s: &Suspect, arrival| quarantine.report(now, s.fingerprint, arrival);
@@ -166,10 +163,13 @@
     let origin = if from.is_some() { "peer" } else { "own" };
     let recorded: Vec<(CrashReport, Recorded)> = {
         let mut quarantine = node.crash_quarantine.lock();
-        if from.is_some() {
-            ignore_conclusive(node, &mut quarantine, reports);
-        }
-        reports.iter().map(|report| (*report, quarantine.record(now, *report))).collect()
+        let record = |report: &CrashReport| {
+            if from.is_some() {
+                ignore_if_repeated(node, &mut quarantine, report);
+            }
+            (*report, quarantine.record(now, *report))
+        };
+        reports.iter().map(record).collect()
     };
     let mut any_new = false;
     for (report, Recorded { change, evicted }) in recorded {
@@ -233,19 +233,20 @@
     tokio::spawn(fetch(node.clone(), from));
 }
 
-/// Ignores the second reports among `reports` of peers on requests that this node has lately seen
-/// completed: a peer that has not takes its first losses for conclusive.
-fn ignore_conclusive(node: &Node, quarantine: &mut CrashQuarantine, reports: &[CrashReport]) {
+/// Ignores a peer's `report` on a request that this node has lately seen completed, unless it is the
+/// first in an outage: peers that have not seen that take each of their losses for evidence.
+fn ignore_if_repeated(node: &Node, quarantine: &mut CrashQuarantine, report: &CrashReport) {
     let now = node.now();
-    let completed = node.completed.lock();
-    for CrashReport { fingerprint, arrival, .. } in reports.iter().copied() {
-        let is_proven = completed.contains(now, fingerprint);
-        if !is_second_report(arrival) || !is_proven || quarantine.is_suspected(now, fingerprint) {
-            continue;
-        }
-        if let Some(evicted) = quarantine.ignore(now, fingerprint, arrival) {
-            dropped(node, Some(evicted), 1, DropCause::TableFull);
-        }
+    let CrashReport { fingerprint, arrival, .. } = *report;
+    let is_proven = node.completed.lock().contains(now, fingerprint);
+    if !is_proven
+        || quarantine.is_suspected(now, fingerprint)
+        || quarantine.is_first(now, fingerprint, arrival)
+    {
+        return;
+    }
+    if let Some(evicted) = quarantine.ignore(now, fingerprint, arrival) {
+        dropped(node, Some(evicted), 1, DropCause::TableFull);
     }
 }
 
