--- a/crates/base/src/unit.rs
+++ b/crates/base/src/unit.rs
@@ -27,6 +27,45 @@
     pub revision: Revision,
 }
 
+/// Requests per second; finite and not negative.
+#[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd)]
+pub struct Rate(f64);
+
+impl Rate {
+    /// No requests.
+    pub const ZERO: Rate = Rate(0.0);
+
+    /// Creates a rate; what is not a number counts as 0, and the range is limited to that of finite
+    /// numbers that are not negative.
+    pub fn new(per_second: f64) -> Rate {
+        if per_second.is_nan() { Rate::ZERO } else { Rate(per_second.clamp(0.0, f64::MAX)) }
+    }
+
+    /// Returns the requests per second.
+    pub fn per_second(self) -> f64 {
+        self.0
+    }
+}
+
+impl fmt::Display for Rate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// Parses a decimal number without a sign or an exponent.
+impl FromStr for Rate {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Rate, Error> {
+        let is_decimal = text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+        let per_second: Option<f64> = text.parse().ok().filter(|_| is_decimal);
+        let allowed = "a decimal number that is not negative";
+        let error = || Error { kind: "rate", input: text.to_owned(), allowed };
+        per_second.map(Rate::new).ok_or_else(error)
+    }
+}
+
 /// Share of a whole, from 0 to 1. Stored in parts per million, so that comparisons are exact.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
--- a/crates/policy/src/relay/notice.rs
+++ b/crates/policy/src/relay/notice.rs
@@ -5,6 +5,8 @@
 
 use std::time::{Duration, Instant};
 
+use base::unit::Rate;
+
 /// Longest rest that an upstream gets for one wish. One that is not asked cannot say that it has
 /// recovered, and a longer wish is more likely an error.
 pub const MAX_REST: Duration = Duration::from_secs(300);
@@ -13,20 +15,27 @@
 /// The same at least: several times the service time of a request.
 const MIN_REST_SPREAD: Duration = Duration::from_millis(200);
 
+/// What a reply says of a limit on the requests that its upstream takes from all nodes together.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub enum Limit {
+    /// The reply states no limit.
+    #[default]
+    None,
+    /// The reply states a limit that cannot be read.
+    Malformed,
+    /// The upstream takes at most so many requests.
+    Rate(Rate),
+}
+
 /// What a reply says of its upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Notice {
     /// The upstream leaves and must get no new requests.
     pub is_leaving: bool,
     /// Time for which it wants no requests from this node.
     pub rest: Option<Duration>,
-}
-
-impl Notice {
-    /// Returns whether the reply says nothing.
-    pub fn is_empty(self) -> bool {
-        self == Notice::default()
-    }
+    /// Limit on the requests from all nodes together.
+    pub limit: Limit,
 }
 
 /// Rest of an upstream at one node.
--- a/crates/policy/src/relay/pool.rs
+++ b/crates/policy/src/relay/pool.rs
@@ -14,7 +14,7 @@
 
 use super::{
     admission::{PoolAdmission, Sample},
-    notice::Rest,
+    notice::{Limit, Rest},
     registry::{Availability, Entry, Registry},
     retry_budget::{RetryBound, RetryBudget},
     upstream::{AttemptEnd, Upstream, UpstreamStats},
@@ -63,6 +63,8 @@
     /// Whether an attempt to it is overdue, so that a second attempt to another upstream should
     /// be sent early.
     pub stuck: bool,
+    /// Whether the upstream states a limit on the requests from all nodes together.
+    pub limited: bool,
 }
 
 /// Instance and start of a process.
@@ -212,6 +214,11 @@
         rest.end(now)
     }
 
+    /// Records what a reply of an upstream says of its limit. Returns whether the limit has changed.
+    pub fn record_limit(&mut self, handle: UpstreamHandle, limit: Limit) -> bool {
+        self.upstreams.get_mut(&handle).is_some_and(|u| u.stats.record_limit(limit))
+    }
+
     /// Chooses the upstream of `pool` with the lowest cost that is not in `tried`; `None` if
     /// there is none. `connection_limit` is the number of connections that each upstream accepts
     /// from all nodes together.
@@ -241,7 +248,8 @@
         let share = connection_limit as f64 * SHARED_CONNECTIONS / nodes;
         let max_connections = (share as usize).max(1);
         let stuck = self.is_stuck(now, &upstream.stats);
-        Some(Choice { handle, entry: upstream.entry.clone(), max_connections, stuck })
+        let limited = upstream.stats.limit().is_some();
+        Some(Choice { handle, entry: upstream.entry.clone(), max_connections, stuck, limited })
     }
 
     /// Returns the expected time to a reply plus the penalties that apply to the upstream.
--- a/crates/policy/src/relay/upstream.rs
+++ b/crates/policy/src/relay/upstream.rs
@@ -5,8 +5,10 @@
     time::{Duration, Instant},
 };
 
+use base::unit::Rate;
+
 use super::{
-    notice::Rest,
+    notice::{Limit, Rest},
     registry::{Availability, Entry},
 };
 use crate::outcome::Fate;
@@ -107,6 +109,8 @@
     cold_until: Instant,
     /// Rest that the upstream has asked for.
     rest: Rest,
+    /// Limit that it states on the requests from all nodes together.
+    limit: Option<Rate>,
 }
 
 impl UpstreamStats {
@@ -125,6 +129,7 @@
             replaced: false,
             cold_until: now + entry.cold,
             rest: Rest::default(),
+            limit: None,
         }
     }
 
@@ -184,6 +189,21 @@
         self.rest
     }
 
+    /// Records what a reply says of the upstream's limit. Returns whether it has changed.
+    pub fn record_limit(&mut self, limit: Limit) -> bool {
+        let limit = match limit {
+            Limit::Malformed => return false,
+            Limit::None => None,
+            Limit::Rate(rate) => Some(rate),
+        };
+        std::mem::replace(&mut self.limit, limit) != limit
+    }
+
+    /// Returns the limit that the upstream states on the requests from all nodes together.
+    pub fn limit(&self) -> Option<Rate> {
+        self.limit
+    }
+
     /// Returns whether a request may be sent to the upstream, as far as its own replies say.
     pub fn wants_requests(&self, now: Instant) -> bool {
         !self.replaced && self.rest.allows(now, self.in_flight.len())
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -249,7 +249,7 @@
             }
             let due = node.with_rng(|rng| state.due_attempts(now, &mut node.pools.lock(), rng));
             for planned in due {
-                self.log.second_attempt(now, &state, &planned);
+                self.log.attempt_planned(now, &state, &planned);
                 attempts.push(self.send(now, planned, state.attempt_deadline()));
             }
             // Attempts that cannot be sent may have decided the request.
--- a/crates/relay/src/interface.rs
+++ b/crates/relay/src/interface.rs
@@ -27,7 +27,7 @@
 }
 
 /// Protocol metadata in the head of an upstream's reply.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ReplyMetadata {
     /// Whether the request ran.
     pub kind: ReplyKind,
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -37,6 +37,8 @@
     pub invalid_values: IntCounter,
     /// Replies by which an upstream changed what it wants, by kind.
     pub upstream_notices: IntCounterVec,
+    /// Attempts to upstreams that state a limit, by kind.
+    pub limited_attempts: IntCounterVec,
     /// Calls to peers by result.
     pub peer_calls: IntCounterVec,
     /// Attempts that ended as if their upstream had crashed, by end.
@@ -122,6 +124,10 @@
                 let help = "Replies by which an upstream changed what it wants";
                 counters(&r, "upstream_notices_total", help, &["kind"])
             },
+            limited_attempts: {
+                let help = "Attempts to upstreams that state a limit";
+                counters(&r, "limited_attempts_total", help, &["kind"])
+            },
             peer_calls: counters(&r, "peer_calls_total", "Calls to peers", &["result"]),
             crash_losses: {
                 let help = "Attempts that ended as if the upstream had crashed";
--- a/crates/relay/src/notice.rs
+++ b/crates/relay/src/notice.rs
@@ -1,7 +1,11 @@
 //! Applies what upstreams say of themselves in their replies.
 
 use http::HeaderValue;
-use policy::relay::{notice::Notice, pool::UpstreamHandle, registry::Entry};
+use policy::relay::{
+    notice::{Limit, Notice},
+    pool::UpstreamHandle,
+    registry::Entry,
+};
 
 use crate::{log_limiter::LogKind, node::Node, platform_watch, request_log};
 
@@ -15,9 +19,6 @@
     request_id: &HeaderValue,
     notice: Notice,
 ) {
-    if notice.is_empty() {
-        return;
-    }
     let now = node.now();
     let request = request_log::id_text(request_id);
     let upstream = &entry.instance;
@@ -28,6 +29,16 @@
         }
         platform_watch::sync_pools(node);
     }
+    if node.pools.lock().record_limit(handle, notice.limit) {
+        node.metrics.upstream_notices.with_label_values(&["limit"]).inc();
+        if node.log_limiter.allows(now, LogKind::RoutingState) {
+            let limit = match notice.limit {
+                Limit::Rate(rate) => Some(rate.per_second()),
+                Limit::None | Limit::Malformed => None,
+            };
+            tracing::info!(request, %upstream, limit, "upstream changed its limit on all nodes");
+        }
+    }
     let Some(time) = notice.rest else { return };
     let chance = node.chance();
     let rest_end = node.pools.lock().record_rest(now, handle, time, chance);
--- a/crates/relay/src/request_log.rs
+++ b/crates/relay/src/request_log.rs
@@ -85,13 +85,17 @@
         id_text(&self.request_id)
     }
 
-    /// Records `planned` if it is a second attempt.
-    pub(crate) fn second_attempt(
+    /// Records an attempt that is about to be sent; logs it if it is a second one.
+    pub(crate) fn attempt_planned(
         &self,
         now: Instant,
         state: &RequestState,
         planned: &PlannedAttempt,
     ) {
+        if planned.choice.limited {
+            let kind = if planned.cause == Cause::First { "first" } else { "second" };
+            self.node.metrics.limited_attempts.with_label_values(&[kind]).inc();
+        }
         let (cause, ended) = match planned.cause {
             Cause::First => return,
             Cause::Slow => ("slow", None),
