A node tells peers of every process that it believes to drain

An exception was derived from the newest departure under a key. If an earlier process under that id had drained and a later one had gone without, a copy that lists the earlier one as ready is not believed, by what was known of its entry; but the newest departure is the later process's, so that no exception was passed on. Exceptions now follow from the belief.

--- a/crates/policy/src/relay/registry/key_state.rs
+++ b/crates/policy/src/relay/registry/key_state.rs
@@ -66,6 +66,15 @@
         self.withheld_until.take_if(|until| *until <= now).is_some() || expired.is_some()
     }
 
+    /// Returns the departure of a process that is listed as ready and believed to drain. The newest
+    /// departure may be that of a later process with the same id, which had not drained.
+    fn believed_drain(&self) -> Option<Departure> {
+        let Change::Put(listed) = &self.change else { return None };
+        let drains = self.entry.as_ref().is_some_and(|e| e.draining) && !listed.draining;
+        let known = self.departure.filter(|d| d.has_drained_as(listed));
+        drains.then(|| known.unwrap_or(Departure::draining(listed)))
+    }
+
     /// Returns what this node believes against the platform's listing.
     pub(super) fn exceptions(
         &self,
@@ -80,11 +89,8 @@
             entry: Entry::clone(&r.entry),
             remaining: r.until.saturating_duration_since(now),
         });
-        let departure = self.departure.filter(|d| {
-            let drains = |listed: &Entry| !listed.draining && d.has_drained_as(listed);
-            let is_open = matches!(&self.change, Change::Put(listed) if drains(listed));
-            is_open || d.is_carried && self.withheld_until.is_some()
-        });
+        let withheld = self.departure.filter(|d| d.is_carried && self.withheld_until.is_some());
+        let departure = self.believed_drain().or(withheld);
         let until = self.withheld_until.unwrap_or(now);
         let departed = departure.map(|departure| Exception::Departed {
             key: key.clone(),
--- a/crates/policy/tests/relay_restored.rs
+++ b/crates/policy/tests/relay_restored.rs
@@ -216,6 +216,22 @@
     assert_eq!(started.exception_count(), 0);
 }
 
+#[test]
+fn a_process_whose_predecessor_drained_is_withheld_once_it_has_gone() {
+    use Op::{Call, Drain, End, Restart, Restore, Start, Wait};
+    let waits = |n: usize| vec![Wait; n];
+    let history = [
+        vec![Start(0)],
+        waits(10),
+        vec![Drain(0)],
+        waits(15),
+        vec![End(0), Start(0), Wait, Call(0), End(0)],
+        waits(6),
+        vec![Restore(73), Wait, Restore(32), Call(0), Restart(1, 0)],
+    ];
+    assert_eq!(Model::new().run(&history.concat()), Ok(()));
+}
+
 /// Random histories of upstreams, restores and nodes, checked against what is true.
 /// `RESTORE_HISTORIES` sets their number.
 #[test]
