Nodes divide the limit of an upstream by demand, and tell each other of it

Equal parts leave a limit unused where callers are spread unevenly, and a node whose part is one request in ten seconds hears as late that a limit has changed or ended.

Nodes that know of a limit exchange their demand for the pool with a random peer five times a second (push-pull averaging in epochs), in datagrams of their own that earlier programs reject, and tell each other what they have heard of limits. A node's part is its share of the demand; without word from peers it is the equal part. The life of a permit follows from what the upstream tolerates.

--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -8,6 +8,7 @@
 pub mod completed;
 pub mod crash_quarantine;
 pub mod crash_suspects;
+pub mod demand;
 pub mod limiter;
 pub mod merge;
 pub mod node_selection;
--- a/crates/policy/src/relay/limiter.rs
+++ b/crates/policy/src/relay/limiter.rs
@@ -9,9 +9,23 @@
 
 use base::unit::Rate;
 
-/// Time for which a permit can be used. Bounds a burst after idle time to what the limit allows in
-/// this time, over all nodes.
-pub const PERMIT_LIFETIME: Duration = Duration::from_millis(500);
+/// Longest time between taking a permit and sending the request.
+pub const MAX_PERMIT_AGE: Duration = Duration::from_millis(500);
+/// Window in which upstreams measure the requests that they get.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Requests that an upstream tolerates in the window, as a multiple of what its limit allows.
+const TOLERANCE: f64 = 1.5;
+/// Requests that it tolerates in addition, however low its limit.
+const TOLERATED_EXTRA: f64 = 5.0;
+/// Standard deviations of the number of requests in a window that must fit into the tolerance.
+const DEVIATIONS: f64 = 3.0;
+/// Shortest life of a permit.
+const MIN_LIFETIME: Duration = Duration::from_millis(250);
+/// Longest life of a permit.
+const MAX_LIFETIME: Duration = Duration::from_secs(2);
+/// Life of a permit as a multiple of the interval between two, within these bounds and what the
+/// tolerance allows.
+const LIFETIME_INTERVALS: f64 = 2.0;
 /// Share of its life after which a permit may be used for a second attempt: first attempts have
 /// not needed it.
 const SECOND_ATTEMPT_AGE: f64 = 0.5;
@@ -33,17 +47,30 @@
 /// is nothing until `age`, the time since the start of the process, shows that there is none.
 pub fn equal_part(limit: Rate, nodes: Option<usize>, age: Duration) -> Rate {
     match nodes {
-        Some(nodes) => part(limit, 1.0 / nodes.max(1) as f64),
+        Some(nodes) => shared_part(limit, 1.0 / nodes.max(1) as f64),
         None if age < LONE_NODE_DELAY => Rate::ZERO,
-        None => part(limit, 1.0),
+        None => shared_part(limit, 1.0),
     }
 }
 
-/// Returns the part of `limit` for a node that may use `share` of it.
-fn part(limit: Rate, share: f64) -> Rate {
+/// Returns the part of `limit` for a node that may use `share` of it, from 0 to 1.
+pub fn shared_part(limit: Rate, share: f64) -> Rate {
     Rate::new(limit.per_second().max(MIN_LIMIT) * LIMIT_SHARE * share)
 }
 
+/// Returns the longest time for which permits can be used under `limit`, so that the tolerance holds
+/// if all nodes have been idle and use all their permits at once. Each node's count in the window
+/// is random by its phase, in large fleets nearly as in a Poisson distribution.
+fn max_lifetime(limit: Rate) -> Duration {
+    let allowed = limit.per_second().max(MIN_LIMIT) * LIMIT_SHARE;
+    let tolerated = limit.per_second() * TOLERANCE * WINDOW.as_secs_f64() + TOLERATED_EXTRA;
+    // The mean that solves `mean + DEVIATIONS * sqrt(mean) = tolerated`.
+    let root = ((DEVIATIONS.powi(2) + 4.0 * tolerated).sqrt() - DEVIATIONS) / 2.0;
+    let seconds = root.powi(2) / allowed - WINDOW.as_secs_f64();
+    let lifetime = Duration::try_from_secs_f64(seconds.max(0.0)).unwrap_or(MAX_LIFETIME);
+    lifetime.clamp(MIN_LIFETIME, MAX_LIFETIME)
+}
+
 /// Whether an attempt is the first one to its pool.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Attempt {
@@ -109,12 +136,18 @@
         };
     }
 
+    /// Returns the time for which a permit can be used.
+    fn lifetime(&self) -> Duration {
+        let wanted = interval(self.part).mul_f64(LIFETIME_INTERVALS).max(MIN_LIFETIME);
+        wanted.min(max_lifetime(self.limit))
+    }
+
     /// Returns whether a permit is there for an attempt.
     pub fn allows(&self, now: Instant, attempt: Attempt) -> bool {
         let Some(next) = self.next_permit(now) else { return false };
         match attempt {
             Attempt::First => next <= now,
-            Attempt::Second => next + PERMIT_LIFETIME.mul_f64(SECOND_ATTEMPT_AGE) <= now,
+            Attempt::Second => next + self.lifetime().mul_f64(SECOND_ATTEMPT_AGE) <= now,
         }
     }
 
@@ -133,7 +166,7 @@
         }
         let interval = interval(self.part);
         let age = now.saturating_duration_since(self.next);
-        let expired = age.saturating_sub(PERMIT_LIFETIME).as_secs_f64() / interval.as_secs_f64();
+        let expired = age.saturating_sub(self.lifetime()).as_secs_f64() / interval.as_secs_f64();
         Some(self.next + interval.mul_f64(expired.ceil()))
     }
 }
--- a/crates/policy/src/relay/pool.rs
+++ b/crates/policy/src/relay/pool.rs
@@ -3,24 +3,32 @@
 //! Upstreams may pause, be slow, shed load, fail part of their requests, have just started, or
 //! disappear without notice, while each node sees only a small part of the requests.
 
+mod limits;
+
 use std::{
     sync::Arc,
     time::{Duration, Instant},
 };
 
-use base::{hash::FastMap, id};
+use base::{
+    hash::{self, FastMap},
+    id,
+};
 use rand::{Rng, RngCore};
 use smol_str::SmolStr;
 
 use super::{
     admission::{PoolAdmission, Sample},
-    limiter::{Attempt, Limiter, PERMIT_LIFETIME, equal_part},
-    notice::{Limit, Rest},
+    demand::{Averages, Key, Meter},
+    limiter::{Attempt, Limiter, MAX_PERMIT_AGE},
+    notice::Rest,
     registry::{Availability, Entry, Registry},
     retry_budget::{RetryBound, RetryBudget},
     upstream::{AttemptEnd, Upstream, UpstreamStats},
 };
 
+pub use limits::{Basis, Learned};
+
 /// Latency assumed for an upstream without recent replies.
 const DEFAULT_LATENCY: Duration = Duration::from_millis(8);
 /// Penalty for an upstream in another failure domain: the round trip, and the price of traffic
@@ -84,13 +92,19 @@
 struct Wishes {
     rest: Rest,
     limiter: Option<Limiter>,
+    limit_heard_at: Option<Instant>,
     removed_at: Instant,
 }
 
 impl Wishes {
     fn of(now: Instant, upstream: &Upstream) -> Wishes {
-        let limiter = upstream.stats.limiter().cloned();
-        Wishes { rest: upstream.stats.rest(), limiter, removed_at: now }
+        let Upstream { stats, .. } = upstream;
+        Wishes {
+            rest: stats.rest(),
+            limiter: stats.limiter().cloned(),
+            limit_heard_at: stats.limit_heard_at(),
+            removed_at: now,
+        }
     }
 
     fn is_useful(&self, now: Instant) -> bool {
@@ -99,6 +113,16 @@
     }
 }
 
+/// Returns the key of a pool in messages.
+fn pool_key(name: &id::Pool) -> Key {
+    hash::stable(&[name.as_str().as_bytes()]) as Key
+}
+
+/// Returns the key of a process in messages.
+fn process_key(entry: &Entry) -> Key {
+    hash::stable(&[entry.instance.0.as_bytes(), &entry.born_ms.to_be_bytes()]) as Key
+}
+
 /// Returns the kind of an attempt of a request that has `tried` these upstreams of the pool.
 fn attempt_after(tried: &[UpstreamHandle]) -> Attempt {
     if tried.is_empty() { Attempt::First } else { Attempt::Second }
@@ -110,6 +134,7 @@
     handles: Vec<UpstreamHandle>,
     budget: RetryBudget,
     admission: PoolAdmission,
+    demand: Meter,
 }
 
 /// All usable upstreams by pool, with what this node has observed of them.
@@ -126,8 +151,13 @@
     last_handle: u64,
     /// Registry version of the last [`Pools::sync`].
     synced_version: Option<u64>,
-    /// Number of nodes that may exist, this one included; `None` while no other is known.
+    /// Number of nodes that share the requests, this one included; `None` while no other is known.
     node_count: Option<usize>,
+    /// Number of nodes that may exist, this one included.
+    fleet_size: usize,
+    averages: Averages,
+    pool_keys: FastMap<Key, id::Pool>,
+    process_keys: FastMap<Key, UpstreamHandle>,
 }
 
 impl Pools {
@@ -144,6 +174,10 @@
             last_handle: 0,
             synced_version: None,
             node_count: None,
+            fleet_size: 1,
+            averages: Averages::new(process_start),
+            pool_keys: FastMap::default(),
+            process_keys: FastMap::default(),
         }
     }
 
@@ -153,21 +187,15 @@
         self.pools.values_mut().for_each(|p| p.budget.set_bound(bound));
     }
 
-    /// Sets the number of nodes that may exist, this one included; `None` while no other is
+    /// Sets the number of nodes that share the requests, this one included; `None` while no other is
     /// known.
     pub fn set_node_count(&mut self, nodes: Option<usize>) {
         self.node_count = nodes;
     }
 
-    /// Updates this node's parts of the limits that upstreams state. To be called several times a
-    /// second.
-    pub fn update_limiters(&mut self, now: Instant) {
-        let age = now.saturating_duration_since(self.process_start);
-        for upstream in self.upstreams.values_mut() {
-            if let Some(limiter) = upstream.stats.limiter_mut() {
-                limiter.set_part(now, equal_part(limiter.limit(), self.node_count, age));
-            }
-        }
+    /// Sets the number of nodes that may exist, this one included.
+    pub fn set_fleet_size(&mut self, nodes: usize) {
+        self.fleet_size = nodes.max(1);
     }
 
     /// Replaces the upstreams by those that `registry` lists as usable. An upstream keeps its
@@ -192,7 +220,7 @@
                     let mut stats = UpstreamStats::new(now, entry);
                     if let Some(wishes) = self.removed.remove(&process(entry)) {
                         stats.set_rest(wishes.rest);
-                        stats.set_limiter(wishes.limiter);
+                        stats.set_limiter(wishes.limit_heard_at, wishes.limiter);
                     }
                     (UpstreamHandle(self.last_handle), stats)
                 }
@@ -202,6 +230,8 @@
             self.pool_mut(now, &entry.pool).handles.push(handle);
         }
         self.pools.values_mut().for_each(|p| p.handles.sort_unstable());
+        let keys = self.upstreams.iter().map(|(handle, u)| (process_key(&u.entry), *handle));
+        self.process_keys = keys.collect();
         let removed = old.iter().map(|(process, (_, u))| (process.clone(), Wishes::of(now, u)));
         self.removed.extend(removed.filter(|(_, wishes)| wishes.is_useful(now)));
         old.into_values().map(|(handle, _)| handle).collect()
@@ -212,8 +242,10 @@
         if !self.pools.contains_key(name) {
             let budget = RetryBudget::new(self.bound, self.process_start, now);
             let admission = PoolAdmission::new(now);
-            let pool = Pool { handles: Vec::new(), budget, admission };
+            let demand = Meter::new(now);
+            let pool = Pool { handles: Vec::new(), budget, admission, demand };
             self.pools.insert(name.clone(), pool);
+            self.pool_keys.insert(pool_key(name), name.clone());
         }
         self.pools.get_mut(name).unwrap_or_else(|| unreachable!())
     }
@@ -241,7 +273,7 @@
             return false;
         }
         let Some(limiter) = upstream.stats.limiter_mut() else { return true };
-        if permit.is_some_and(|at| now.saturating_duration_since(at) <= PERMIT_LIFETIME) {
+        if permit.is_some_and(|at| now.saturating_duration_since(at) <= MAX_PERMIT_AGE) {
             return true;
         }
         let is_allowed = limiter.allows(now, Attempt::First);
@@ -280,32 +312,6 @@
         rest.end(now)
     }
 
-    /// Records what a reply of an upstream says of its limit. `phase` is random, from 0 to 1. Returns
-    /// whether the limit has changed.
-    pub fn record_limit(
-        &mut self,
-        now: Instant,
-        handle: UpstreamHandle,
-        limit: Limit,
-        phase: f64,
-    ) -> bool {
-        let age = now.saturating_duration_since(self.process_start);
-        let Some(upstream) = self.upstreams.get_mut(&handle) else { return false };
-        let known = upstream.stats.limiter_mut();
-        match (known, limit) {
-            (_, Limit::Malformed) | (None, Limit::None) => return false,
-            (Some(limiter), Limit::Rate(rate)) if limiter.limit() == rate => return false,
-            (Some(limiter), Limit::Rate(rate)) => limiter.set_limit(now, rate),
-            (Some(_), Limit::None) => upstream.stats.set_limiter(None),
-            (None, Limit::Rate(rate)) => {
-                let mut limiter = Limiter::new(now, rate, phase);
-                limiter.set_part(now, equal_part(rate, self.node_count, age));
-                upstream.stats.set_limiter(Some(limiter));
-            }
-        }
-        true
-    }
-
     /// Chooses the upstream of `pool` with the lowest cost that is not in `tried`; `None` if
     /// there is none. `connection_limit` is the number of connections that each upstream accepts
     /// from all nodes together.
--- /dev/null
+++ b/crates/policy/src/relay/pool/limits.rs
@@ -0,0 +1,219 @@
+//! Limits that upstreams state on the requests from all nodes together: what this node knows of
+//! them, and its part of each.
+
+use std::time::{Duration, Instant};
+
+use base::{hash::FastMap, id, unit::Rate};
+use rand::{Rng, RngCore};
+
+use super::{Pools, UpstreamHandle, pool_key, process_key};
+use crate::relay::{
+    demand::{Exchange, Key, Kind, LimitReport, MAX_ITEMS},
+    limiter::{Limiter, equal_part, shared_part},
+    notice::Limit,
+};
+
+/// Time for which peers are told that a limit has ended.
+const END_RETENTION: Duration = Duration::from_secs(30);
+
+/// What the parts of this node follow from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Basis {
+    /// Limits of which the part is proportional to the demand.
+    pub by_demand: usize,
+    /// Limits of which the part is equal for all nodes, as the demand of the others is not known.
+    pub equal: usize,
+}
+
+/// A limit that this node has learned of from a peer.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Learned {
+    /// The upstream.
+    pub instance: id::Instance,
+    /// Its limit; `None` if that has ended.
+    pub limit: Option<Rate>,
+}
+
+impl Pools {
+    /// Records a request to `pool`, whether or not it can be served.
+    pub fn record_demand(&mut self, now: Instant, pool: &id::Pool) {
+        self.pool_mut(now, pool).demand.record(now);
+    }
+
+    /// Updates this node's parts of the limits that upstreams state. To be called several times a
+    /// second.
+    pub fn update_limiters(&mut self, now: Instant) -> Basis {
+        let limited = self.upstreams.values().filter(|u| u.stats.limiter().is_some());
+        let demand: FastMap<Key, f64> = limited
+            .map(|u| (pool_key(&u.entry.pool), self.demand_for(now, &u.entry.pool)))
+            .collect();
+        self.averages.update(now, self.fleet_size, &demand);
+        let age = now.saturating_duration_since(self.process_start);
+        let mut basis = Basis::default();
+        for upstream in self.upstreams.values_mut() {
+            let Some(limiter) = upstream.stats.limiter_mut() else { continue };
+            let share = self.averages.share(now, pool_key(&upstream.entry.pool), self.fleet_size);
+            let part = match share {
+                Some(share) => shared_part(limiter.limit(), share),
+                None => equal_part(limiter.limit(), self.node_count, age),
+            };
+            limiter.set_part(now, part);
+            *(if share.is_some() { &mut basis.by_demand } else { &mut basis.equal }) += 1;
+        }
+        basis
+    }
+
+    /// Records what a reply of an upstream says of its limit. `phase` is random, from 0 to 1. Returns
+    /// whether the limit has changed.
+    pub fn record_limit(
+        &mut self,
+        now: Instant,
+        handle: UpstreamHandle,
+        limit: Limit,
+        phase: f64,
+    ) -> bool {
+        match limit {
+            Limit::Malformed => false,
+            Limit::None => self.set_limit(now, handle, None, now, phase),
+            Limit::Rate(rate) => self.set_limit(now, handle, Some(rate), now, phase),
+        }
+    }
+
+    /// Sets the limit that an upstream stated at `heard_at`. Returns whether it has changed.
+    fn set_limit(
+        &mut self,
+        now: Instant,
+        handle: UpstreamHandle,
+        limit: Option<Rate>,
+        heard_at: Instant,
+        phase: f64,
+    ) -> bool {
+        let age = now.saturating_duration_since(self.process_start);
+        let Some(upstream) = self.upstreams.get_mut(&handle) else { return false };
+        let stats = &mut upstream.stats;
+        let is_known = limit.is_none() && stats.limit_heard_at().is_none();
+        if is_known || stats.limit_heard_at().is_some_and(|known| known >= heard_at) {
+            return false;
+        }
+        let before = stats.limiter().map(Limiter::limit);
+        let limiter = match (stats.limiter().cloned(), limit) {
+            (_, None) => None,
+            (Some(mut limiter), Some(rate)) => {
+                if limiter.limit() != rate {
+                    limiter.set_limit(now, rate);
+                }
+                Some(limiter)
+            }
+            (None, Some(rate)) => {
+                let mut limiter = Limiter::new(now, rate, phase);
+                limiter.set_part(now, equal_part(rate, self.node_count, age));
+                Some(limiter)
+            }
+        };
+        stats.set_limiter(Some(heard_at), limiter);
+        before != limit
+    }
+
+    /// Returns a request to send to a random peer if it is time for one.
+    pub fn exchange(
+        &mut self,
+        now: Instant,
+        from: id::Node,
+        rng: &mut dyn RngCore,
+    ) -> Option<Exchange> {
+        if !self.averages.is_round_due(now, rng) {
+            return None;
+        }
+        let demand = self.averages.estimates();
+        Some(self.message(now, from, Kind::Request, demand, rng))
+    }
+
+    /// Learns from a peer's message. Returns the reply to it, if it is a request, and the limits that
+    /// were new.
+    pub fn receive_exchange(
+        &mut self,
+        now: Instant,
+        from: id::Node,
+        message: &Exchange,
+        rng: &mut dyn RngCore,
+    ) -> (Option<Exchange>, Vec<Learned>) {
+        let learned = self.learn_limits(now, &message.limits, rng);
+        let known = message.demand.iter().filter_map(|(key, _)| {
+            let pool = self.pool_keys.get(key)?;
+            Some((*key, self.demand_for(now, pool)))
+        });
+        let mut demand: FastMap<Key, f64> = known.collect();
+        let limited = self.upstreams.values().filter(|u| u.stats.limiter().is_some());
+        for upstream in limited {
+            let pool = &upstream.entry.pool;
+            demand.entry(pool_key(pool)).or_insert_with(|| self.demand_for(now, pool));
+        }
+        let demand = |key: Key| demand.get(&key).copied();
+        match message.kind {
+            Kind::Request => {
+                let changes = self.averages.receive_request(now, message, demand);
+                (Some(self.message(now, from, Kind::Reply, changes, rng)), learned)
+            }
+            Kind::Reply => {
+                self.averages.receive_reply(now, message, demand);
+                (None, learned)
+            }
+        }
+    }
+
+    fn learn_limits(
+        &mut self,
+        now: Instant,
+        reports: &[LimitReport],
+        rng: &mut dyn RngCore,
+    ) -> Vec<Learned> {
+        let mut learned = Vec::new();
+        for LimitReport { process, per_second, age_ms } in reports {
+            let Some(handle) = self.process_keys.get(process).copied() else { continue };
+            let age = Duration::from_millis(u64::from(*age_ms));
+            let Some(heard_at) = now.checked_sub(age) else { continue };
+            let limit = per_second.map(Rate::new);
+            if self.set_limit(now, handle, limit, heard_at, rng.random())
+                && let Some(upstream) = self.upstreams.get(&handle)
+            {
+                learned.push(Learned { instance: upstream.entry.instance.clone(), limit });
+            }
+        }
+        learned
+    }
+
+    fn message(
+        &self,
+        now: Instant,
+        from: id::Node,
+        kind: Kind,
+        demand: Vec<(Key, f32)>,
+        rng: &mut dyn RngCore,
+    ) -> Exchange {
+        let nodes = u32::try_from(self.fleet_size).unwrap_or(u32::MAX);
+        let limits = self.limit_reports(now, rng);
+        Exchange { from, kind, epoch: self.averages.epoch(), nodes, demand, limits }
+    }
+
+    /// Returns what this node knows of limits; a random part of it if a message cannot hold it all.
+    fn limit_reports(&self, now: Instant, rng: &mut dyn RngCore) -> Vec<LimitReport> {
+        let report = |upstream: &super::Upstream| {
+            let age = now.saturating_duration_since(upstream.stats.limit_heard_at()?);
+            let limit = upstream.stats.limiter().map(|l| l.limit().per_second());
+            (limit.is_some() || age < END_RETENTION).then(|| LimitReport {
+                process: process_key(&upstream.entry),
+                per_second: limit,
+                age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+            })
+        };
+        let mut reports: Vec<LimitReport> = self.upstreams.values().filter_map(report).collect();
+        while reports.len() > MAX_ITEMS {
+            reports.swap_remove(rng.random_range(0..reports.len()));
+        }
+        reports
+    }
+
+    fn demand_for(&self, now: Instant, pool: &id::Pool) -> f64 {
+        self.pools.get(pool).map_or(0.0, |p| p.demand.per_second(now))
+    }
+}
--- a/crates/policy/src/relay/request.rs
+++ b/crates/policy/src/relay/request.rs
@@ -179,6 +179,7 @@
     /// not, the request must be refused and nothing sent: too few pools are expected to serve
     /// it.
     pub fn admit(&mut self, now: Instant, pools: &mut Pools, draw: f64) -> bool {
+        self.plan.pools.iter().for_each(|pool| pools.record_demand(now, pool));
         if self.pools.len() < 2 {
             return true;
         }
--- a/crates/policy/src/relay/upstream.rs
+++ b/crates/policy/src/relay/upstream.rs
@@ -116,6 +116,8 @@
     rest: Rest,
     /// Keeps the limit that it states.
     limiter: Option<Limiter>,
+    /// When the newest reply came that said what its limit is, or that it has ended.
+    limit_heard_at: Option<Instant>,
 }
 
 impl UpstreamStats {
@@ -135,6 +137,7 @@
             cold_until: now + entry.cold,
             rest: Rest::default(),
             limiter: None,
+            limit_heard_at: None,
         }
     }
 
@@ -198,9 +201,16 @@
         self.rest
     }
 
-    /// Sets the limiter for the limit that the upstream states.
-    pub fn set_limiter(&mut self, limiter: Option<Limiter>) {
+    /// Sets the limiter for the limit that the upstream stated at `heard_at`.
+    pub fn set_limiter(&mut self, heard_at: Option<Instant>, limiter: Option<Limiter>) {
         self.limiter = limiter;
+        self.limit_heard_at = heard_at;
+    }
+
+    /// Returns when a reply last stated the upstream's limit or its end; `None` if it has never had
+    /// one.
+    pub fn limit_heard_at(&self) -> Option<Instant> {
+        self.limit_heard_at
     }
 
     /// Returns the limiter for the limit that the upstream states; `None` if it states none.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod forward;
 pub mod http_server;
 pub mod interface;
+mod limit_exchange;
 pub mod log_limiter;
 pub mod membership;
 pub mod memory;
--- /dev/null
+++ b/crates/relay/src/limit_exchange.rs
@@ -0,0 +1,85 @@
+//! Exchanges with peers by which nodes divide the limits of upstreams. The decisions are in
+//! [`policy::relay::demand`] and [`policy::relay::pool`].
+
+use base::id;
+use policy::{
+    membership::Status,
+    relay::{
+        demand::Exchange,
+        pool::{Basis, Learned},
+    },
+};
+use rand::Rng;
+use wire::{datagram::Error, demand};
+
+use crate::{log_limiter::LogKind, node::Node};
+
+/// Updates this node's parts of the limits, and exchanges demand with a peer if it is time. To be
+/// called several times a second.
+pub(crate) fn tick(node: &Node) {
+    let now = node.now();
+    let own = id::Node(node.settings.advertised_addr);
+    let (basis, request) = {
+        let mut pools = node.pools.lock();
+        let basis = pools.update_limiters(now);
+        (basis, node.with_rng(|rng| pools.exchange(now, own, rng)))
+    };
+    record_basis(node, basis);
+    let Some(request) = request else { return };
+    let peers = node.peers.load();
+    let alive: Vec<id::Node> =
+        peers.iter().filter(|r| r.status == Status::Alive).map(|r| r.node).collect();
+    if alive.is_empty() {
+        return;
+    }
+    let to = alive[node.with_rng(|rng| rng.random_range(0..alive.len()))];
+    send(node, to, &request);
+}
+
+/// Handles a datagram of this protocol.
+pub(crate) fn receive(node: &Node, bytes: &[u8]) -> Result<(), Error> {
+    let message = demand::decode(&node.settings.deployment, bytes)?;
+    let now = node.now();
+    let own = id::Node(node.settings.advertised_addr);
+    let (reply, learned) = {
+        let mut pools = node.pools.lock();
+        node.with_rng(|rng| pools.receive_exchange(now, own, &message, rng))
+    };
+    for Learned { instance, limit } in learned {
+        node.metrics.upstream_notices.with_label_values(&["limit"]).inc();
+        if node.log_limiter.allows(now, LogKind::RoutingState) {
+            let limit = limit.map(|rate| rate.per_second());
+            let peer = message.from;
+            tracing::info!(%peer, upstream = %instance, limit, "upstream changed its limit on all nodes");
+        }
+    }
+    if let Some(reply) = reply {
+        send(node, message.from, &reply);
+    }
+    Ok(())
+}
+
+/// Shows and logs what the parts follow from.
+fn record_basis(node: &Node, basis: Basis) {
+    let Basis { by_demand, equal } = basis;
+    let by_basis = [("demand", by_demand), ("equal", equal)];
+    let gauges = by_basis.map(|(name, count)| {
+        (node.metrics.limited_upstreams.with_label_values(&[name]), count as i64)
+    });
+    if gauges.iter().all(|(gauge, count)| gauge.get() == *count) {
+        return;
+    }
+    gauges.iter().for_each(|(gauge, count)| gauge.set(*count));
+    if node.log_limiter.allows(node.now(), LogKind::RoutingState) {
+        tracing::info!(by_demand, equal, "parts of upstreams' limits");
+    }
+}
+
+fn send(node: &Node, to: id::Node, message: &Exchange) {
+    let Some(socket) = node.heartbeat_socket.load_full() else { return };
+    match demand::encode(&node.settings.deployment, message) {
+        // A full send buffer loses the datagram, as the network may.
+        Ok(bytes) => drop(socket.try_send_to(&bytes, to.0)),
+        Err(e) => tracing::error!(peer = %to, cause = %e, "failed to encode an exchange of demand"),
+    }
+}
--- a/crates/relay/src/membership.rs
+++ b/crates/relay/src/membership.rs
@@ -22,10 +22,10 @@
 };
 use tokio::net::UdpSocket;
 use tokio_util::sync::CancellationToken;
-use wire::heartbeat;
+use wire::{demand, heartbeat};
 
 use crate::{
-    crash,
+    crash, limit_exchange,
     log_limiter::LogKind,
     node::{Directory, Node},
     peer, platform_watch,
@@ -94,7 +94,7 @@
     };
     send(node, messages);
     platform_watch::sync_pools(node);
-    node.pools.lock().update_limiters(node.now());
+    limit_exchange::tick(node);
     node.connections.close_expired(node.now());
     crash::expire(node, node.now());
     node.log_limiter.end_window(node.now());
@@ -107,6 +107,11 @@
     let message = match heartbeat::decode(&node.settings.deployment, bytes) {
         Ok(message) => message,
         Err(e) => {
+            let is_exchange = e == heartbeat::Error::Protocol(demand::PROTOCOL_VERSION);
+            let Err(e) = (if is_exchange { limit_exchange::receive(node, bytes) } else { Err(e) })
+            else {
+                return;
+            };
             if node.log_limiter.allows(node.now(), LogKind::Peer) {
                 tracing::warn!(cause = %e, "rejected a heartbeat");
             }
@@ -242,7 +247,11 @@
         false => all,
     };
     let nodes = (!peers.is_empty()).then_some(nodes);
-    node.pools.lock().set_node_count(nodes);
+    {
+        let mut pools = node.pools.lock();
+        pools.set_node_count(nodes);
+        pools.set_fleet_size(all);
+    }
     node.directory.store(Arc::new(Directory { candidates, coverage }));
 }
 
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts,
-    Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 /// Upper bounds of the latency buckets, in seconds: from one network hop to the longest deadline.
@@ -39,6 +39,8 @@
     pub upstream_notices: IntCounterVec,
     /// Attempts to upstreams that state a limit, by kind.
     pub limited_attempts: IntCounterVec,
+    /// Upstreams that state a limit, by what this node's part of it follows from.
+    pub limited_upstreams: IntGaugeVec,
     /// Calls to peers by result.
     pub peer_calls: IntCounterVec,
     /// Attempts that ended as if their upstream had crashed, by end.
@@ -124,6 +126,11 @@
                 let help = "Replies by which an upstream changed what it wants";
                 counters(&r, "upstream_notices_total", help, &["kind"])
             },
+            limited_upstreams: {
+                let help = "Upstreams that state a limit, by what this node's part follows from";
+                let opts = Opts::new("balsamgate_limited_upstreams", help);
+                register(&r, IntGaugeVec::new(opts, &["basis"]))
+            },
             limited_attempts: {
                 let help = "Attempts to upstreams that state a limit";
                 counters(&r, "limited_attempts_total", help, &["kind"])
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,8 @@
 
 pub mod answer;
 pub mod caller;
+pub mod datagram;
+pub mod demand;
 pub mod feed;
 pub mod heartbeat;
 pub mod operator;
