Urgent requests go first within the limits of a pool, and others return later

Of requests that competed for the limit of a pool, each kind got as much as it asked for it: with 12 urgent and 60 other requests a second for 19 permits, 3.2 urgent ones were served. Requests that are less urgent than others of their pool now use permits that no first attempt has needed for half their life, as second attempts do. A pool that has only fresh permits does not count as failed for a request that yields. Callers that are refused get the time in which the permits serve those who compete for one, 2 s at most, spread as before.

--- a/crates/policy/src/relay/demand.rs
+++ b/crates/policy/src/relay/demand.rs
@@ -57,6 +57,41 @@
     }
 }
 
+/// Rates of the requests for one pool at this node, by the rank of their routes.
+#[derive(Debug, Default)]
+pub struct RankedMeter {
+    by_rank: Vec<(u32, Meter)>,
+}
+
+impl RankedMeter {
+    /// Records a request of a route with `rank`, whether or not it can be served.
+    pub fn record(&mut self, now: Instant, rank: u32) {
+        match self.by_rank.iter_mut().find(|(r, _)| *r == rank) {
+            Some((_, meter)) => meter.record(now),
+            None => {
+                let mut meter = Meter::new(now);
+                meter.record(now);
+                self.by_rank.push((rank, meter));
+            }
+        }
+    }
+
+    /// Returns the requests per second of all ranks.
+    pub fn total(&self, now: Instant) -> f64 {
+        self.sum(now, |_| true)
+    }
+
+    /// Returns the requests per second that are served before those of `rank`.
+    pub fn before(&self, now: Instant, rank: u32) -> f64 {
+        self.sum(now, |r| r < rank)
+    }
+
+    fn sum(&self, now: Instant, filter: impl Fn(u32) -> bool) -> f64 {
+        let meters = self.by_rank.iter().filter(|(rank, _)| filter(*rank));
+        meters.map(|(_, meter)| meter.per_second(now)).sum()
+    }
+}
+
 /// Kind of an [`Exchange`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Kind {
--- a/crates/policy/src/relay/limiter.rs
+++ b/crates/policy/src/relay/limiter.rs
@@ -25,10 +25,9 @@
 const MAX_LIFETIME: Duration = Duration::from_secs(2);
 /// Life of a permit as a multiple of the interval between two, within these bounds and what the
 /// tolerance allows.
-const LIFETIME_INTERVALS: f64 = 2.0;
-/// Share of its life after which a permit may be used for a second attempt: first attempts have
-/// not needed it.
-const SECOND_ATTEMPT_AGE: f64 = 0.5;
+const LIFETIME_INTERVALS: f64 = 4.0;
+/// Share of its life after which a permit may be used for [`Attempt::Yielding`].
+const YIELDING_AGE: f64 = 0.5;
 /// Share of the limit that the parts of all nodes add up to. The rest is a margin for nodes that
 /// count the fleet differently.
 const LIMIT_SHARE: f64 = 0.95;
@@ -71,13 +70,14 @@
     lifetime.clamp(MIN_LIFETIME, MAX_LIFETIME)
 }
 
-/// Whether an attempt is the first one to its pool.
+/// Which permits an attempt may use.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Attempt {
-    /// The first one.
+    /// Any.
     First,
-    /// A hedge or a retry.
-    Second,
+    /// Those that no first attempt has needed for some time: it is a hedge or a retry, or less urgent
+    /// than others.
+    Yielding,
 }
 
 /// Limits the requests of this node to one upstream.
@@ -144,11 +144,17 @@
 
     /// Returns whether a permit is there for an attempt.
     pub fn allows(&self, now: Instant, attempt: Attempt) -> bool {
-        let Some(next) = self.next_permit(now) else { return false };
-        match attempt {
-            Attempt::First => next <= now,
-            Attempt::Second => next + self.lifetime().mul_f64(SECOND_ATTEMPT_AGE) <= now,
-        }
+        self.allows_at(now, attempt).is_some_and(|at| at <= now)
+    }
+
+    /// Returns since when, or from when on, a permit is there for an attempt; `None` if the node has
+    /// no part of the limit.
+    pub fn allows_at(&self, now: Instant, attempt: Attempt) -> Option<Instant> {
+        let next = self.next_permit(now)?;
+        Some(match attempt {
+            Attempt::First => next,
+            Attempt::Yielding => next + self.lifetime().mul_f64(YIELDING_AGE),
+        })
     }
 
     /// Uses up a permit. Without one, the next is used up in advance.
--- a/crates/policy/src/relay/pool.rs
+++ b/crates/policy/src/relay/pool.rs
@@ -19,7 +19,7 @@
 
 use super::{
     admission::{PoolAdmission, Sample},
-    demand::{Averages, Key, Meter},
+    demand::{Averages, Key, RankedMeter},
     limiter::{Attempt, Limiter, MAX_PERMIT_AGE},
     notice::Rest,
     registry::{Availability, Entry, Registry},
@@ -123,18 +123,13 @@
     hash::stable(&[entry.instance.0.as_bytes(), &entry.born_ms.to_be_bytes()]) as Key
 }
 
-/// Returns the kind of an attempt of a request that has `tried` these upstreams of the pool.
-fn attempt_after(tried: &[UpstreamHandle]) -> Attempt {
-    if tried.is_empty() { Attempt::First } else { Attempt::Second }
-}
-
 #[derive(Debug)]
 struct Pool {
     /// Upstreams of the pool, sorted.
     handles: Vec<UpstreamHandle>,
     budget: RetryBudget,
     admission: PoolAdmission,
-    demand: Meter,
+    demand: RankedMeter,
 }
 
 /// All usable upstreams by pool, with what this node has observed of them.
@@ -242,7 +237,7 @@
         if !self.pools.contains_key(name) {
             let budget = RetryBudget::new(self.bound, self.process_start, now);
             let admission = PoolAdmission::new(now);
-            let demand = Meter::new(now);
+            let demand = RankedMeter::default();
             let pool = Pool { handles: Vec::new(), budget, admission, demand };
             self.pools.insert(name.clone(), pool);
             self.pool_keys.insert(pool_key(name), name.clone());
@@ -251,8 +246,13 @@
     }
 
     /// Returns whether `pool` has an upstream worth an attempt that is not in `tried`.
-    pub fn has_untried(&self, now: Instant, pool: &id::Pool, tried: &[UpstreamHandle]) -> bool {
-        let attempt = attempt_after(tried);
+    pub fn has_untried(
+        &self,
+        now: Instant,
+        pool: &id::Pool,
+        tried: &[UpstreamHandle],
+        attempt: Attempt,
+    ) -> bool {
         let usable = |handle: &UpstreamHandle| {
             let upstream = self.upstreams.get(handle);
             !tried.contains(handle) && upstream.is_some_and(|u| u.stats.wants(now, attempt))
@@ -283,17 +283,15 @@
         is_allowed
     }
 
-    /// Returns when the first upstream of `pool` may be asked again; `None` if one may be asked now
-    /// or none has said when.
-    pub fn rest_end(&self, now: Instant, pool: &id::Pool) -> Option<Instant> {
+    /// Returns when the first upstream of `pool` may get such attempts again; `None` if one may get
+    /// them now or none has said when.
+    pub fn rest_end(&self, now: Instant, pool: &id::Pool, attempt: Attempt) -> Option<Instant> {
         let handles = self.pools.get(pool)?.handles.iter();
         let upstreams = handles.filter_map(|handle| self.upstreams.get(handle));
         let wanting = upstreams.filter(|u| !u.stats.is_replaced());
-        wanting
-            .map(|u| u.stats.wants_again_at(now))
-            .collect::<Option<Vec<Instant>>>()?
-            .into_iter()
-            .min()
+        let times =
+            wanting.map(|u| u.stats.wants_again_at(now, attempt)).collect::<Option<Vec<_>>>()?;
+        Some(times.into_iter().min()? + self.competition_delay(now, pool))
     }
 
     /// Records that an upstream wants no requests for `time`. `chance` is random, from 0 to 1.
@@ -320,11 +318,11 @@
         now: Instant,
         pool: &id::Pool,
         tried: &[UpstreamHandle],
+        attempt: Attempt,
         connection_limit: usize,
         rng: &mut dyn RngCore,
     ) -> Option<Choice> {
         let pool = self.pools.get(pool)?;
-        let attempt = attempt_after(tried);
         let mut best: Option<(Duration, UpstreamHandle, &Upstream)> = None;
         for handle in pool.handles.iter().filter(|h| !tried.contains(h)) {
             let Some(upstream) = self.upstreams.get(handle) else { continue };
--- a/crates/policy/src/relay/pool/limits.rs
+++ b/crates/policy/src/relay/pool/limits.rs
@@ -16,6 +16,11 @@
 /// Time for which peers are told that a limit has ended.
 const END_RETENTION: Duration = Duration::from_secs(30);
 
+/// Least rate of urgent requests for which others wait, in requests per second.
+const MIN_URGENT_RATE: f64 = 0.05;
+/// Longest time to return for callers that compete for permits, besides that to the next permit.
+const MAX_COMPETITION_DELAY: Duration = Duration::from_secs(2);
+
 /// What the parts of this node follow from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Basis {
@@ -36,8 +41,37 @@
 
 impl Pools {
     /// Records a request to `pool`, whether or not it can be served.
-    pub fn record_demand(&mut self, now: Instant, pool: &id::Pool) {
-        self.pool_mut(now, pool).demand.record(now);
+    /// `rank` is that of its route.
+    pub fn record_demand(&mut self, now: Instant, pool: &id::Pool, rank: u32) {
+        self.pool_mut(now, pool).demand.record(now, rank);
+    }
+
+    /// Returns whether requests for `pool` that are more urgent than those of `rank` come to this
+    /// node.
+    pub fn has_more_urgent(&self, now: Instant, pool: &id::Pool, rank: u32) -> bool {
+        self.pools.get(pool).is_some_and(|p| p.demand.before(now, rank) >= MIN_URGENT_RATE)
+    }
+
+    /// Returns the time in which the permits of `pool` serve the requests that compete for one of
+    /// them; zero if not all its upstreams state limits.
+    pub(super) fn competition_delay(&self, now: Instant, pool: &id::Pool) -> Duration {
+        let Some(capacity) = self.limited_capacity(pool).filter(|c| *c > 0.0) else {
+            return Duration::ZERO;
+        };
+        let waiting = (self.demand_for(now, pool) / capacity - 1.0).max(0.0);
+        let delay = Duration::try_from_secs_f64(waiting / capacity);
+        delay.unwrap_or(MAX_COMPETITION_DELAY).min(MAX_COMPETITION_DELAY)
+    }
+
+    /// Returns the requests per second that this node may send to `pool`; `None` if one of its
+    /// upstreams states no limit, or it has none.
+    fn limited_capacity(&self, pool: &id::Pool) -> Option<f64> {
+        let handles = self.pools.get(pool)?.handles.iter();
+        let upstreams = handles.filter_map(|handle| self.upstreams.get(handle));
+        let parts = upstreams.filter(|u| !u.stats.is_replaced());
+        let parts = parts.map(|u| Some(u.stats.limiter()?.part().per_second()));
+        let parts: Vec<f64> = parts.collect::<Option<_>>()?;
+        (!parts.is_empty()).then(|| parts.iter().sum())
     }
 
     /// Updates this node's parts of the limits that upstreams state. To be called several times a
@@ -214,6 +248,6 @@
     }
 
     fn demand_for(&self, now: Instant, pool: &id::Pool) -> f64 {
-        self.pools.get(pool).map_or(0.0, |p| p.demand.per_second(now))
+        self.pools.get(pool).map_or(0.0, |p| p.demand.total(now))
     }
 }
--- a/crates/policy/src/relay/request.rs
+++ b/crates/policy/src/relay/request.rs
@@ -11,6 +11,7 @@
 
 use super::{
     admission::Sample,
+    limiter::Attempt,
     pool::{Choice, Pools, UpstreamHandle},
     upstream::AttemptEnd,
 };
@@ -59,6 +60,8 @@
     pub max_attempts: usize,
     /// Whether the request may run more than once.
     pub repeatable: bool,
+    /// Rank of its route; 0 is served first.
+    pub rank: u32,
     /// Target latency, counted from `arrived`; a later answer is worth much less.
     pub goal: Duration,
     /// When the request arrived at this node.
@@ -131,6 +134,16 @@
     short: bool,
     /// All its upstreams have asked for no requests for a time.
     resting: bool,
+    /// More urgent requests are to be served first.
+    yields: bool,
+}
+
+impl PoolState {
+    /// Returns which permits the next attempt may use.
+    fn next_attempt(&self) -> Attempt {
+        let yields = self.yields || !self.tried.is_empty();
+        if yields { Attempt::Yielding } else { Attempt::First }
+    }
 }
 
 /// State of one request.
@@ -179,7 +192,11 @@
     /// not, the request must be refused and nothing sent: too few pools are expected to serve
     /// it.
     pub fn admit(&mut self, now: Instant, pools: &mut Pools, draw: f64) -> bool {
-        self.plan.pools.iter().for_each(|pool| pools.record_demand(now, pool));
+        let rank = self.plan.rank;
+        for (state, pool) in self.pools.iter_mut().zip(&self.plan.pools) {
+            pools.record_demand(now, pool, rank);
+            state.yields = pools.has_more_urgent(now, pool, rank);
+        }
         if self.pools.len() < 2 {
             return true;
         }
@@ -293,10 +310,11 @@
     fn find_pools_without_upstream(&mut self, now: Instant, pools: &Pools) {
         for pool_index in 0..self.pools.len() {
             let pool = &self.plan.pools[pool_index];
-            if pools.has_untried(now, pool, &[]) || self.pools[pool_index].exhausted {
+            let attempt = self.pools[pool_index].next_attempt();
+            if pools.has_untried(now, pool, &[], attempt) || self.pools[pool_index].exhausted {
                 continue;
             }
-            self.pools[pool_index].resting = pools.rest_end(now, pool).is_some();
+            self.pools[pool_index].resting = pools.rest_end(now, pool, attempt).is_some();
             self.mark_exhausted(pool_index);
         }
         self.hopeless = self.pools.len() - self.exhausted < self.plan.min_replies;
@@ -343,7 +361,8 @@
             self.mark_exhausted(pool_index);
             return None;
         }
-        if !is_first && !pools.has_untried(now, pool, &state.tried) {
+        let attempt = state.next_attempt();
+        if !is_first && !pools.has_untried(now, pool, &state.tried, attempt) {
             if idle {
                 self.mark_exhausted(pool_index);
             } else {
@@ -355,7 +374,8 @@
             return None;
         }
         let connection_limit = self.plan.connection_limits[pool_index];
-        let Some(choice) = pools.choose(now, pool, &state.tried, connection_limit, rng) else {
+        let Some(choice) = pools.choose(now, pool, &state.tried, attempt, connection_limit, rng)
+        else {
             self.mark_exhausted(pool_index);
             return None;
         };
@@ -463,7 +483,11 @@
     /// Returns when the pools that have not replied may be asked again, if upstreams have said so.
     pub fn rest_end(&self, now: Instant, pools: &Pools) -> Option<Instant> {
         let missing = self.pools.iter().zip(&self.plan.pools).filter(|(p, _)| !p.replied);
-        missing.filter_map(|(_, pool)| pools.rest_end(now, pool)).max()
+        let rest_end = |(state, pool): (&PoolState, &id::Pool)| {
+            let attempt = if state.yields { Attempt::Yielding } else { Attempt::First };
+            pools.rest_end(now, pool, attempt)
+        };
+        missing.filter_map(rest_end).max()
     }
 
     /// Returns the combined fate of all attempts. An attempt in flight may have run.
--- a/crates/policy/src/relay/upstream.rs
+++ b/crates/policy/src/relay/upstream.rs
@@ -229,11 +229,11 @@
         !self.replaced && in_limit && self.rest.allows(now, self.in_flight.len())
     }
 
-    /// Returns when the upstream wants requests again; `None` if it wants them now, or if it has not
-    /// said.
-    pub fn wants_again_at(&self, now: Instant) -> Option<Instant> {
+    /// Returns when the upstream wants such attempts again; `None` if it wants them now, or if it has
+    /// not said.
+    pub fn wants_again_at(&self, now: Instant, attempt: Attempt) -> Option<Instant> {
         let permit = match &self.limiter {
-            Some(limiter) => limiter.next_permit(now).or(Some(now + NO_PART_DELAY)),
+            Some(limiter) => limiter.allows_at(now, attempt).or(Some(now + NO_PART_DELAY)),
             None => None,
         };
         self.rest.end(now).max(permit.filter(|at| *at > now))
--- a/crates/policy/tests/fleet_model/mod.rs
+++ b/crates/policy/tests/fleet_model/mod.rs
@@ -12,6 +12,7 @@
 };
 use policy::relay::{
     demand::Exchange,
+    limiter::Attempt,
     notice::Limit,
     pool::Pools,
     registry::{Change, Entry, Event, Registry},
@@ -171,8 +172,10 @@
 
     fn request(&mut self, now: Instant, n: usize) {
         let node = &mut self.nodes[n];
-        node.pools.record_demand(now, &pool());
-        let Some(choice) = node.pools.choose(now, &pool(), &[], 1_000, &mut self.rng) else {
+        node.pools.record_demand(now, &pool(), 0);
+        let Some(choice) =
+            node.pools.choose(now, &pool(), &[], Attempt::First, 1_000, &mut self.rng)
+        else {
             return;
         };
         node.pools.record_sent(now, choice.handle);
--- a/crates/policy/tests/queue_model/mod.rs
+++ b/crates/policy/tests/queue_model/mod.rs
@@ -241,6 +241,7 @@
                     min_replies: scenario.min_replies,
                     max_attempts: scenario.max_attempts,
                     repeatable: true,
+                    rank: 0,
                     goal,
                     arrived: now,
                     deadline: now + scenario.deadline,
--- a/crates/policy/tests/relay_demand.rs
+++ b/crates/policy/tests/relay_demand.rs
@@ -7,9 +7,9 @@
 
 use std::time::{Duration, Instant};
 
-use base::hash::FastMap;
+use base::{hash::FastMap, id};
 use fleet_model::{Model, STEP, WINDOW};
-use policy::relay::demand::{Averages, Meter};
+use policy::relay::demand::{Averages, Exchange, Kind, Meter};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -114,6 +114,57 @@
     assert!(meter.per_second(now + WINDOW * 5) < 0.1);
 }
 
+#[test]
+fn two_nodes_meet_at_the_mean_of_their_demand() {
+    let start = Instant::now();
+    let averages = |demand: f64| {
+        let mut averages = Averages::new(start);
+        averages.update(start, 2, &FastMap::from_iter([(1, demand)]));
+        averages
+    };
+    let (mut left, mut right) = (averages(10.0), averages(30.0));
+    let message = |kind, demand| Exchange {
+        from: id::Node(([10, 0, 0, 1], 1).into()),
+        kind,
+        epoch: 0,
+        nodes: 2,
+        demand,
+        limits: Vec::new(),
+    };
+    let request = message(Kind::Request, left.estimates());
+    let changes = right.receive_request(start, &request, |_| None);
+    left.receive_reply(start, &message(Kind::Reply, changes), |_| None);
+    assert_eq!((left.estimates(), right.estimates()), (vec![(1, 20.0)], vec![(1, 20.0)]));
+}
+
+#[test]
+fn share_by_demand_is_forgotten_when_no_peer_answers() {
+    let start = Instant::now();
+    let mut averages = Averages::new(start);
+    let demand = FastMap::from_iter([(1, 30.0)]);
+    let message = |epoch, change| Exchange {
+        from: id::Node(([10, 0, 0, 1], 1).into()),
+        kind: Kind::Reply,
+        epoch,
+        nodes: 2,
+        demand: vec![(1, change)],
+        limits: Vec::new(),
+    };
+    let mut share_at = |ms: u64, answers: bool| {
+        let now = start + Duration::from_millis(ms);
+        averages.update(now, 2, &demand);
+        if answers {
+            averages.receive_reply(now, &message(averages.epoch(), -0.1), |_| Some(30.0));
+        }
+        averages.share(now, 1, 2)
+    };
+    let known = (0..40).filter_map(|n| share_at(100 * n, true)).last().expect("an epoch ended");
+    assert!((0.5..0.6).contains(&known), "half of the demand and a little more: {known}");
+    assert!(share_at(5_000, false).is_some());
+    let left = (0..200).filter(|n| share_at(5_000 + 100 * n, false).is_some()).count();
+    assert!(left < 100, "still known after {left} times 100 ms");
+}
+
 #[test]
 fn share_is_not_known_before_an_epoch_with_peers_has_ended() {
     let start = Instant::now();
--- a/crates/policy/tests/relay_limiter.rs
+++ b/crates/policy/tests/relay_limiter.rs
@@ -138,19 +138,24 @@
 }
 
 #[test]
-fn permit_expires_and_second_attempts_wait_for_half_its_life() {
+fn permit_expires_and_others_wait_while_first_attempts_may_need_it() {
     let start = Instant::now();
     let at = |n: u64| start + ms(n);
     let mut limiter = Limiter::new(start, Rate::new(20.0), 0.5);
     assert!(!limiter.allows(at(0), Attempt::First), "no part");
     limiter.set_part(start, Rate::new(2.0));
-    let check = |limiter: &Limiter, at_ms: u64, first: bool, second: bool| {
+    let check = |limiter: &Limiter, at_ms: u64, first: bool, yielding: bool| {
         assert_eq!(limiter.allows(at(at_ms), Attempt::First), first, "first at {at_ms} ms");
-        assert_eq!(limiter.allows(at(at_ms), Attempt::Second), second, "second at {at_ms} ms");
+        assert_eq!(
+            limiter.allows(at(at_ms), Attempt::Yielding),
+            yielding,
+            "yielding at {at_ms} ms"
+        );
     };
     check(&limiter, 249, false, false);
     check(&limiter, 250, true, false);
-    check(&limiter, 800, true, true);
+    check(&limiter, 740, true, false);
+    check(&limiter, 790, true, true);
     let taken = (0..10).filter(|_| {
         let is_allowed = limiter.allows(at(100_000), Attempt::First);
         if is_allowed {
--- a/crates/policy/tests/relay_notice.rs
+++ b/crates/policy/tests/relay_notice.rs
@@ -10,7 +10,7 @@
     unit::{Rate, Revision},
 };
 use policy::relay::{
-    limiter::{LONE_NODE_DELAY, MAX_PERMIT_AGE},
+    limiter::{Attempt, LONE_NODE_DELAY, MAX_PERMIT_AGE},
     notice::{Limit, MAX_REST, Rest},
     pool::{Choice, Pools},
     registry::{Availability, Change, Entry, Event, REMOVAL_GRACE, Registry},
@@ -75,8 +75,12 @@
         self.pools.sync(now, &self.registry);
         let pool = "p".parse().expect("name");
         let mut rng = ChaCha8Rng::seed_from_u64(1);
-        let choice = self.pools.choose(now, &pool, &[], LIMIT, &mut rng);
-        assert_eq!(choice.is_some(), self.pools.has_untried(now, &pool, &[]), "at {at_ms} ms");
+        let choice = self.pools.choose(now, &pool, &[], Attempt::First, LIMIT, &mut rng);
+        assert_eq!(
+            choice.is_some(),
+            self.pools.has_untried(now, &pool, &[], Attempt::First),
+            "at {at_ms} ms"
+        );
         choice.map(|c| c.entry.instance.to_string())
     }
 
@@ -89,7 +93,10 @@
         let now = self.start + ms(at_ms);
         let pool = "p".parse().expect("name");
         let mut rng = ChaCha8Rng::seed_from_u64(1);
-        let choice = self.pools.choose(now, &pool, &[], LIMIT, &mut rng).expect("an upstream");
+        let choice = self
+            .pools
+            .choose(now, &pool, &[], Attempt::First, LIMIT, &mut rng)
+            .expect("an upstream");
         self.pools.record_sent(now, choice.handle);
         self.pools.record_rest(now, choice.handle, ms(rest_ms), 0.0);
         self.pools.record_end(now, choice.handle, now, AttemptEnd::Refused);
@@ -166,7 +173,10 @@
     let mut case = Case::new(&["a"]);
     case.rest(0, 5_000);
     let pool: id::Pool = "p".parse().expect("name");
-    assert_eq!(case.pools.rest_end(case.start, &pool), Some(case.start + ms(5_000)));
+    assert_eq!(
+        case.pools.rest_end(case.start, &pool, Attempt::First),
+        Some(case.start + ms(5_000))
+    );
     assert_eq!(case.chosen(100), None);
     case.change(200, "a", Change::Unusable);
     case.change(400, "a", Change::Put(entry("a", 1)));
@@ -190,10 +200,13 @@
     let pool: id::Pool = "p".parse().expect("name");
     let other = case.chosen(10).expect("the other");
     assert_ne!(first, other);
-    assert_eq!(case.pools.rest_end(case.start, &pool), None);
+    assert_eq!(case.pools.rest_end(case.start, &pool, Attempt::First), None);
     case.rest(20, 1_000);
     assert_eq!(case.chosen(30), None);
-    assert_eq!(case.pools.rest_end(case.start, &pool), Some(case.start + ms(1_020)));
+    assert_eq!(
+        case.pools.rest_end(case.start, &pool, Attempt::First),
+        Some(case.start + ms(1_020))
+    );
 }
 
 #[test]
@@ -212,7 +225,7 @@
     fn choice(&self, at_ms: u64) -> Option<Choice> {
         let pool = "p".parse().expect("name");
         let mut rng = ChaCha8Rng::seed_from_u64(1);
-        self.pools.choose(self.start + ms(at_ms), &pool, &[], LIMIT, &mut rng)
+        self.pools.choose(self.start + ms(at_ms), &pool, &[], Attempt::First, LIMIT, &mut rng)
     }
 
     /// Records that the chosen upstream says `limit`.
@@ -236,7 +249,7 @@
     assert!(!case.limit(1, &choice, one_per_second()), "known");
     let pool: id::Pool = "p".parse().expect("name");
     assert_eq!(case.chosen(900), None);
-    let again = case.pools.rest_end(case.start + ms(900), &pool).expect("a time");
+    let again = case.pools.rest_end(case.start + ms(900), &pool, Attempt::First).expect("a time");
     assert!(again > case.start + ms(990) && again < case.start + ms(1_010));
     assert_eq!(case.chosen(1_010).as_deref(), Some("a"));
     assert!(case.choice(1_010).expect("an upstream").limited);
@@ -301,3 +314,22 @@
     case.pools.update_limiters(case.start + ms(lone_ms));
     assert_eq!(case.chosen(lone_ms + 20).as_deref(), Some("a"));
 }
+
+#[test]
+fn callers_that_compete_for_permits_are_told_to_return_later() {
+    let check = |demand: u32, least_ms: u64, most_ms: u64| {
+        let mut case = Case::new(&["a"]);
+        case.pools.set_node_count(Some(4));
+        let choice = case.choice(0).expect("an upstream");
+        case.limit(0, &choice, one_per_second());
+        let pool: id::Pool = "p".parse().expect("name");
+        (0..demand).for_each(|_| case.pools.record_demand(case.start, &pool, 0));
+        let end =
+            case.pools.rest_end(case.start, &pool, Attempt::First).expect("a time") - case.start;
+        assert!((ms(least_ms)..=ms(most_ms)).contains(&end), "{demand} requests: {end:?}");
+    };
+    check(1, 990, 1_010);
+    // Three a second compete for one.
+    check(6, 1_900, 2_100);
+    check(1_000, 2_900, 3_100);
+}
--- a/crates/policy/tests/relay_pool.rs
+++ b/crates/policy/tests/relay_pool.rs
@@ -7,6 +7,7 @@
 
 use base::{id, unit::Revision};
 use policy::relay::{
+    limiter::Attempt,
     pool::Pools,
     registry::{Change, Entry, Event, Registry},
     retry_budget::RetryBound,
@@ -44,7 +45,7 @@
 
     fn choice(&mut self, tried: &[&str]) -> Option<policy::relay::pool::Choice> {
         let handles: Vec<_> = tried.iter().map(|name| self.handle(name)).collect();
-        self.pools.choose(self.now, &pool(), &handles, 66, &mut self.rng)
+        self.pools.choose(self.now, &pool(), &handles, Attempt::Yielding, 66, &mut self.rng)
     }
 
     fn chosen(&mut self) -> String {
@@ -55,7 +56,8 @@
     fn handle(&mut self, name: &str) -> policy::relay::pool::UpstreamHandle {
         let mut tried = Vec::new();
         loop {
-            let choice = self.pools.choose(self.now, &pool(), &tried, 66, &mut self.rng);
+            let choice =
+                self.pools.choose(self.now, &pool(), &tried, Attempt::First, 66, &mut self.rng);
             let choice = choice.expect("the upstream exists");
             if choice.entry.instance.to_string() == name {
                 return choice.handle;
@@ -187,7 +189,8 @@
     let check = |nodes: Option<usize>, limit: usize, expected: usize| {
         let mut case = Case::new();
         case.pools.set_node_count(nodes);
-        let choice = case.pools.choose(case.now, &pool(), &[], limit, &mut case.rng);
+        let choice =
+            case.pools.choose(case.now, &pool(), &[], Attempt::First, limit, &mut case.rng);
         assert_eq!(choice.expect("an upstream").max_connections, expected);
     };
     check(Some(15), 66, 3);
--- a/crates/policy/tests/relay_request.rs
+++ b/crates/policy/tests/relay_request.rs
@@ -86,6 +86,7 @@
             min_replies,
             max_attempts: 2,
             repeatable,
+            rank: 0,
             goal: GOAL,
             arrived: start,
             deadline: start + DEADLINE,
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -213,6 +213,7 @@
         min_replies,
         max_attempts: route.max_attempts,
         repeatable: route.repeatable,
+        rank: route.rank,
         goal: route.remaining_goal(timeout),
         arrived,
         deadline: arrived + timeout,
