Policy test: a queued request is not sent in the rest that its upstream has asked for

The look at a rest right before bytes are written had no test that fails without it; it is part of Pools::may_send now. The test fails with that check taken out.

--- a/crates/policy/tests/relay_notice.rs
+++ b/crates/policy/tests/relay_notice.rs
@@ -333,3 +333,13 @@
     check(6, 1_900, 2_100);
     check(1_000, 2_900, 3_100);
 }
+
+#[test]
+fn a_request_that_waited_while_the_upstream_asked_for_a_rest_is_not_sent() {
+    let mut case = Case::new(&["a"]);
+    let choice = case.choice(0).expect("an upstream");
+    assert!(case.pools.may_send(case.start, choice.handle, None));
+    case.rest(10, 1_000);
+    assert!(!case.pools.may_send(case.start + ms(20), choice.handle, None));
+    assert!(case.pools.may_send(case.start + ms(1_010), choice.handle, None));
+}
