--- a/crates/policy/src/relay/pool.rs
+++ b/crates/policy/src/relay/pool.rs
@@ -11,7 +11,7 @@
 };
 
 use base::{
-    hash::{self, FastMap},
+    hash::{self, FastMap, FastSet},
     id,
 };
 use rand::{Rng, RngCore};
@@ -153,6 +153,8 @@
     averages: Averages,
     pool_keys: FastMap<Key, id::Pool>,
     process_keys: FastMap<Key, UpstreamHandle>,
+    /// Upstreams that state a limit, or whose limit has ended lately.
+    limited: FastSet<UpstreamHandle>,
 }
 
 impl Pools {
@@ -173,6 +175,7 @@
             averages: Averages::new(process_start),
             pool_keys: FastMap::default(),
             process_keys: FastMap::default(),
+            limited: FastSet::default(),
         }
     }
 
@@ -227,6 +230,8 @@
         self.pools.values_mut().for_each(|p| p.handles.sort_unstable());
         let keys = self.upstreams.iter().map(|(handle, u)| (process_key(&u.entry), *handle));
         self.process_keys = keys.collect();
+        let limited = self.upstreams.iter().filter(|(_, u)| u.stats.limit_heard_at().is_some());
+        self.limited = limited.map(|(handle, _)| *handle).collect();
         let removed = old.iter().map(|(process, (_, u))| (process.clone(), Wishes::of(now, u)));
         self.removed.extend(removed.filter(|(_, wishes)| wishes.is_useful(now)));
         old.into_values().map(|(handle, _)| handle).collect()
--- a/crates/policy/src/relay/pool/limits.rs
+++ b/crates/policy/src/relay/pool/limits.rs
@@ -6,7 +6,7 @@
 use base::{hash::FastMap, id, unit::Rate};
 use rand::{Rng, RngCore};
 
-use super::{Pools, UpstreamHandle, pool_key, process_key};
+use super::{Pools, Upstream, UpstreamHandle, pool_key, process_key};
 use crate::relay::{
     demand::{Exchange, Key, Kind, LimitReport, MAX_ITEMS},
     limiter::{Limiter, equal_part, shared_part},
@@ -77,14 +77,17 @@
     /// Updates this node's parts of the limits that upstreams state. To be called several times a
     /// second.
     pub fn update_limiters(&mut self, now: Instant) -> Basis {
-        let limited = self.upstreams.values().filter(|u| u.stats.limiter().is_some());
-        let demand: FastMap<Key, f64> = limited
+        self.forget_ended(now);
+        let demand: FastMap<Key, f64> = self
+            .limited()
+            .filter(|u| u.stats.limiter().is_some())
             .map(|u| (pool_key(&u.entry.pool), self.demand_for(now, &u.entry.pool)))
             .collect();
         self.averages.update(now, self.fleet_size, &demand);
         let age = now.saturating_duration_since(self.process_start);
         let mut basis = Basis::default();
-        for upstream in self.upstreams.values_mut() {
+        for handle in &self.limited {
+            let Some(upstream) = self.upstreams.get_mut(handle) else { continue };
             let Some(limiter) = upstream.stats.limiter_mut() else { continue };
             let share = self.averages.share(now, pool_key(&upstream.entry.pool), self.fleet_size);
             let part = match share {
@@ -145,6 +148,7 @@
             }
         };
         stats.set_limiter(Some(heard_at), limiter);
+        self.limited.insert(handle);
         before != limit
     }
 
@@ -177,8 +181,7 @@
             Some((*key, self.demand_for(now, pool)))
         });
         let mut demand: FastMap<Key, f64> = known.collect();
-        let limited = self.upstreams.values().filter(|u| u.stats.limiter().is_some());
-        for upstream in limited {
+        for upstream in self.limited().filter(|u| u.stats.limiter().is_some()) {
             let pool = &upstream.entry.pool;
             demand.entry(pool_key(pool)).or_insert_with(|| self.demand_for(now, pool));
         }
@@ -231,22 +234,37 @@
 
     /// Returns what this node knows of limits; a random part of it if a message cannot hold it all.
     fn limit_reports(&self, now: Instant, rng: &mut dyn RngCore) -> Vec<LimitReport> {
-        let report = |upstream: &super::Upstream| {
+        let report = |upstream: &Upstream| {
             let age = now.saturating_duration_since(upstream.stats.limit_heard_at()?);
-            let limit = upstream.stats.limiter().map(|l| l.limit().per_second());
-            (limit.is_some() || age < END_RETENTION).then(|| LimitReport {
+            Some(LimitReport {
                 process: process_key(&upstream.entry),
-                per_second: limit,
+                per_second: upstream.stats.limiter().map(|l| l.limit().per_second()),
                 age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
             })
         };
-        let mut reports: Vec<LimitReport> = self.upstreams.values().filter_map(report).collect();
+        let mut reports: Vec<LimitReport> = self.limited().filter_map(report).collect();
         while reports.len() > MAX_ITEMS {
             reports.swap_remove(rng.random_range(0..reports.len()));
         }
         reports
     }
 
+    /// Upstreams that state a limit, or whose limit has ended lately.
+    fn limited(&self) -> impl Iterator<Item = &Upstream> {
+        self.limited.iter().filter_map(|handle| self.upstreams.get(handle))
+    }
+
+    /// Forgets limits of which peers need not be told any more that they have ended.
+    fn forget_ended(&mut self, now: Instant) {
+        let upstreams = &self.upstreams;
+        self.limited.retain(|handle| {
+            let Some(stats) = upstreams.get(handle).map(|u| &u.stats) else { return false };
+            let heard_at = stats.limit_heard_at();
+            let age = heard_at.map_or(END_RETENTION, |at| now.saturating_duration_since(at));
+            stats.limiter().is_some() || age < END_RETENTION
+        });
+    }
+
     fn demand_for(&self, now: Instant, pool: &id::Pool) -> f64 {
         self.pools.get(pool).map_or(0.0, |p| p.demand.total(now))
     }
