Exchanges of demand fit into a datagram with the longest names, and bad rates are ignored

48 pools and 48 limits with the longest names exceed a datagram, by the format: such a node would have sent none. 40 of each take 1,225 bytes with every value at its largest and a deployment's name of 63 bytes, of 1,400. A rate in a peer's message that is not a finite number would have been taken for a limit of zero.

--- a/crates/policy/src/relay/demand.rs
+++ b/crates/policy/src/relay/demand.rs
@@ -26,7 +26,7 @@
 /// Time constant of the measured demand.
 const METER_TIME: Duration = Duration::from_secs(3);
 /// Largest number of pools, and of limits, in one message; others take their turn.
-pub const MAX_ITEMS: usize = 48;
+pub const MAX_ITEMS: usize = 40;
 
 /// Short stable hash of a pool's or a process's name, for messages.
 pub type Key = u32;
--- a/crates/policy/src/relay/pool/limits.rs
+++ b/crates/policy/src/relay/pool/limits.rs
@@ -209,6 +209,9 @@
             let Some(handle) = self.process_keys.get(process).copied() else { continue };
             let age = Duration::from_millis(u64::from(*age_ms));
             let Some(heard_at) = now.checked_sub(age) else { continue };
+            if per_second.is_some_and(|rate| !rate.is_finite()) {
+                continue;
+            }
             let limit = per_second.map(Rate::new);
             if self.set_limit(now, handle, limit, heard_at, rng.random())
                 && let Some(upstream) = self.upstreams.get(&handle)
