Exchanges of demand lock the random numbers before the pools, as requests do

Found by reading: the other order could lock up a node on several threads. Relay nodes run on one, so that it could not happen there; no test fails without it.

--- a/crates/policy/src/relay/pool/limits.rs
+++ b/crates/policy/src/relay/pool/limits.rs
@@ -15,7 +15,6 @@
 
 /// Time for which peers are told that a limit has ended.
 const END_RETENTION: Duration = Duration::from_secs(30);
-
 /// Least rate of urgent requests for which others wait, in requests per second.
 const MIN_URGENT_RATE: f64 = 0.05;
 /// Longest time to return for callers that compete for permits, besides that to the next permit.
@@ -40,8 +39,7 @@
 }
 
 impl Pools {
-    /// Records a request to `pool`, whether or not it can be served.
-    /// `rank` is that of its route.
+    /// Records a request to `pool` of a route with `rank`, whether or not it can be served.
     pub fn record_demand(&mut self, now: Instant, pool: &id::Pool, rank: u32) {
         self.pool_mut(now, pool).demand.record(now, rank);
     }
@@ -128,8 +126,8 @@
         let age = now.saturating_duration_since(self.process_start);
         let Some(upstream) = self.upstreams.get_mut(&handle) else { return false };
         let stats = &mut upstream.stats;
-        let is_known = limit.is_none() && stats.limit_heard_at().is_none();
-        if is_known || stats.limit_heard_at().is_some_and(|known| known >= heard_at) {
+        let never_limited = limit.is_none() && stats.limit_heard_at().is_none();
+        if never_limited || stats.limit_heard_at().is_some_and(|known| known >= heard_at) {
             return false;
         }
         let before = stats.limiter().map(Limiter::limit);
--- a/crates/relay/src/limit_exchange.rs
+++ b/crates/relay/src/limit_exchange.rs
@@ -19,12 +19,10 @@
 pub(crate) fn tick(node: &Node) {
     let now = node.now();
     let own = id::Node(node.settings.advertised_addr);
-    let (basis, request) = {
-        let mut pools = node.pools.lock();
-        let basis = pools.update_limiters(now);
-        (basis, node.with_rng(|rng| pools.exchange(now, own, rng)))
-    };
+    let basis = node.pools.lock().update_limiters(now);
     record_basis(node, basis);
+    // The random numbers are locked before the pools, as for requests.
+    let request = node.with_rng(|rng| node.pools.lock().exchange(now, own, rng));
     let Some(request) = request else { return };
     let peers = node.peers.load();
     let alive: Vec<id::Node> =
@@ -41,10 +39,8 @@
     let message = demand::decode(&node.settings.deployment, bytes)?;
     let now = node.now();
     let own = id::Node(node.settings.advertised_addr);
-    let (reply, learned) = {
-        let mut pools = node.pools.lock();
-        node.with_rng(|rng| pools.receive_exchange(now, own, &message, rng))
-    };
+    let (reply, learned) =
+        node.with_rng(|rng| node.pools.lock().receive_exchange(now, own, &message, rng));
     for Learned { instance, limit } in learned {
         node.metrics.upstream_notices.with_label_values(&["limit"]).inc();
         if node.log_limiter.allows(now, LogKind::RoutingState) {
