Upstreams of an evacuated failure domain get no requests

Cause: nothing read the operator's order op/evacuate/ZONE, so that requests went on to upstreams of an evacuated failure domain. Choice, second attempts, queued attempts, connections and crash checks look at it; coverage leaves such a failure domain out, so that address lists prefer others. Setting [bounds] evacuate, metric balsamgate_evacuated_domains, log lines.

--- a/crates/config/src/field.rs
+++ b/crates/config/src/field.rs
@@ -227,13 +227,21 @@
         range_ms: RangeInclusive<u64>,
         default_ms: Option<u64>,
     ) -> Option<Duration> {
-        let span = |ms: u64| TimeSpan(Duration::from_millis(ms));
-        let allowed = format!("{} to {}", span(*range_ms.start()), span(*range_ms.end()));
-        let allowed_ms = |d: &Duration| range_ms.contains(&(d.as_millis() as u64));
-        let parse = |v: &str| v.parse::<TimeSpan>().ok().map(|s| s.0).filter(allowed_ms);
+        let (allowed, parse) = (allowed_span(&range_ms), |v: &str| parse_span(v, &range_ms));
         self.take(file, key, &allowed, default_ms.map(Duration::from_millis), parse)
     }
 
+    /// Takes a duration that may be absent.
+    pub(crate) fn take_optional_duration(
+        &mut self,
+        file: &mut File,
+        key: &str,
+        range_ms: RangeInclusive<u64>,
+    ) -> Option<Option<Duration>> {
+        let parse = |v: &str| parse_span(v, &range_ms).map(Some);
+        self.take(file, key, &allowed_span(&range_ms), Some(None), parse)
+    }
+
     /// Takes `yes` or `no`.
     pub(crate) fn take_bool(&mut self, file: &mut File, key: &str, default: bool) -> bool {
         let parse = |v: &str| match v {
@@ -269,3 +277,14 @@
         }
     }
 }
+
+fn allowed_span(range_ms: &RangeInclusive<u64>) -> String {
+    let span = |ms: u64| TimeSpan(Duration::from_millis(ms));
+    format!("{} to {}", span(*range_ms.start()), span(*range_ms.end()))
+}
+
+/// Parses a duration within `range_ms`.
+fn parse_span(text: &str, range_ms: &RangeInclusive<u64>) -> Option<Duration> {
+    let allowed_ms = |d: &Duration| range_ms.contains(&(d.as_millis() as u64));
+    text.parse::<TimeSpan>().ok().map(|s| s.0).filter(allowed_ms)
+}
--- a/crates/config/src/relay.rs
+++ b/crates/config/src/relay.rs
@@ -44,6 +44,9 @@
     pub apply_limit: Duration,
     /// Time within which a leaving upstream stops receiving requests.
     pub drain_limit: Duration,
+    /// Time within which upstreams of an evacuated failure domain stop receiving requests; `None` if
+    /// the operator does not evacuate failure domains.
+    pub evacuation_limit: Option<Duration>,
     /// Time from the stop signal until the process must have exited.
     pub stop_grace: Duration,
     /// Second attempts (retries and hedged requests) allowed per request to a pool, across all
@@ -87,6 +90,7 @@
     "[addresses] validity", "1 s to 5 min", "1 s", "Time for which callers may cache an address answer";
     "[bounds] apply", "100 ms to 10 min", "5 s", "Time within which a new configuration is in force on every node";
     "[bounds] drain", "100 ms to 10 min", "3 s", "Time within which a leaving upstream stops receiving requests";
+    "[bounds] evacuate", "100 ms to 10 min", "(none)", "Time within which upstreams of an evacuated failure domain stop receiving requests";
     "[bounds] grace", "1 s to 30 min", "30 s", "Time from the stop signal until the process must have exited";
     "[extra] ratio", "0 to 1", "0.05", "Second attempts allowed per request to a pool, across all nodes";
     "[extra] slack", "0 to 100000", "0", "Second attempts allowed per pool and window in addition to ratio, across all nodes";
@@ -136,8 +140,10 @@
         let mut bounds = f.take_one("bounds", false);
         let apply = bounds.take_duration(f, "apply", 100..=600_000, Some(5_000));
         let drain = bounds.take_duration(f, "drain", 100..=600_000, Some(3_000));
+        let evacuate_range = 100..=600_000;
+        let evacuate = bounds.take_optional_duration(f, "evacuate", evacuate_range);
         let grace = bounds.take_duration(f, "grace", 1_000..=1_800_000, Some(30_000));
-        bounds.finish(f, "apply, drain, grace");
+        bounds.finish(f, "apply, drain, evacuate, grace");
 
         let mut extra = f.take_one("extra", false);
         let ratio = extra.take(f, "ratio", "0 to 1", Some(0.05), |v| within(v, 0.0, 1.0));
@@ -178,6 +184,7 @@
                 address_validity: validity?,
                 apply_limit: apply?,
                 drain_limit: drain?,
+                evacuation_limit: evacuate?,
                 stop_grace: grace?,
                 second_attempt_ratio: ratio?,
                 second_attempt_slack: slack?,
--- a/crates/policy/src/relay/pool.rs
+++ b/crates/policy/src/relay/pool.rs
@@ -155,6 +155,8 @@
     process_keys: FastMap<Key, UpstreamHandle>,
     /// Upstreams that state a limit, or whose limit has ended lately.
     limited: FastSet<UpstreamHandle>,
+    /// Failure domains whose upstreams get no requests.
+    evacuated: FastSet<SmolStr>,
 }
 
 impl Pools {
@@ -176,6 +178,7 @@
             pool_keys: FastMap::default(),
             process_keys: FastMap::default(),
             limited: FastSet::default(),
+            evacuated: FastSet::default(),
         }
     }
 
@@ -204,6 +207,7 @@
             return Vec::new();
         }
         self.synced_version = Some(registry.version());
+        self.evacuated = registry.evacuated();
         let mut old: FastMap<Process, (UpstreamHandle, Upstream)> =
             self.upstreams.drain().map(|(handle, u)| (process(&u.entry), (handle, u))).collect();
         self.pools.values_mut().for_each(|p| p.handles.clear());
@@ -250,6 +254,21 @@
         self.pools.get_mut(name).unwrap_or_else(|| unreachable!())
     }
 
+    /// Returns whether upstreams of the failure domain `domain` get no requests.
+    pub fn is_evacuated(&self, domain: &SmolStr) -> bool {
+        self.evacuated.contains(domain)
+    }
+
+    /// Returns the failure domains whose upstreams get no requests.
+    pub fn evacuated(&self) -> &FastSet<SmolStr> {
+        &self.evacuated
+    }
+
+    /// Returns whether `attempt` may be sent to `upstream`.
+    fn may_get(&self, now: Instant, upstream: &Upstream, attempt: Attempt) -> bool {
+        !self.is_evacuated(&upstream.entry.domain) && upstream.stats.wants(now, attempt)
+    }
+
     /// Returns whether `pool` has an upstream worth an attempt that is not in `tried`.
     pub fn has_untried(
         &self,
@@ -260,19 +279,23 @@
     ) -> bool {
         let usable = |handle: &UpstreamHandle| {
             let upstream = self.upstreams.get(handle);
-            !tried.contains(handle) && upstream.is_some_and(|u| u.stats.wants(now, attempt))
+            !tried.contains(handle) && upstream.is_some_and(|u| self.may_get(now, u, attempt))
         };
         self.pools.get(pool).is_some_and(|p| p.handles.iter().any(usable))
     }
 
-    /// Returns whether an attempt to the upstream that was planned at `planned` may still be sent.
-    /// Takes a permit if it had none, or if that has expired.
+    /// Returns whether an attempt to the upstream that `entry` registers may still be sent. Takes a
+    /// permit if it had none, or if that has expired.
     pub fn may_send(
         &mut self,
         now: Instant,
         handle: UpstreamHandle,
+        entry: &Entry,
         permit: Option<Instant>,
     ) -> bool {
+        if self.is_evacuated(&entry.domain) {
+            return false;
+        }
         let Some(upstream) = self.upstreams.get_mut(&handle) else { return true };
         if upstream.stats.rest().end(now).is_some() {
             return false;
@@ -293,7 +316,8 @@
     pub fn rest_end(&self, now: Instant, pool: &id::Pool, attempt: Attempt) -> Option<Instant> {
         let handles = self.pools.get(pool)?.handles.iter();
         let upstreams = handles.filter_map(|handle| self.upstreams.get(handle));
-        let wanting = upstreams.filter(|u| !u.stats.is_replaced());
+        let wanting =
+            upstreams.filter(|u| !u.stats.is_replaced() && !self.is_evacuated(&u.entry.domain));
         let times =
             wanting.map(|u| u.stats.wants_again_at(now, attempt)).collect::<Option<Vec<_>>>()?;
         Some(times.into_iter().min()? + self.competition_delay(now, pool))
@@ -331,7 +355,7 @@
         let mut best: Option<(Duration, UpstreamHandle, &Upstream)> = None;
         for handle in pool.handles.iter().filter(|h| !tried.contains(h)) {
             let Some(upstream) = self.upstreams.get(handle) else { continue };
-            if !upstream.stats.wants(now, attempt) {
+            if !self.may_get(now, upstream, attempt) {
                 continue;
             }
             let jitter = MAX_JITTER.mul_f64(rng.random::<f64>());
--- a/crates/policy/src/relay/pool/limits.rs
+++ b/crates/policy/src/relay/pool/limits.rs
@@ -66,7 +66,8 @@
     fn limited_capacity(&self, pool: &id::Pool) -> Option<f64> {
         let handles = self.pools.get(pool)?.handles.iter();
         let upstreams = handles.filter_map(|handle| self.upstreams.get(handle));
-        let parts = upstreams.filter(|u| !u.stats.is_replaced());
+        let parts =
+            upstreams.filter(|u| !u.stats.is_replaced() && !self.is_evacuated(&u.entry.domain));
         let parts = parts.map(|u| Some(u.stats.limiter()?.part().per_second()));
         let parts: Vec<f64> = parts.collect::<Option<_>>()?;
         (!parts.is_empty()).then(|| parts.iter().sum())
--- a/crates/policy/src/relay/registry.rs
+++ b/crates/policy/src/relay/registry.rs
@@ -14,14 +14,14 @@
 };
 
 use base::{
-    hash::FastMap,
+    hash::{FastMap, FastSet},
     id,
     unit::{Era, Position, Revision},
 };
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
-use key_state::{KeyState, Retained};
+use key_state::{Evacuation, KeyState, Retained};
 
 use super::restored::{Belief, Departure, Exception, judge};
 
@@ -63,6 +63,8 @@
     Unusable,
     /// The key was removed.
     Removed,
+    /// The key holds the operator's order that upstreams of the failure domain get no requests.
+    Evacuated(SmolStr),
 }
 
 /// A change of one key.
@@ -91,6 +93,10 @@
 /// Longest time for which an upstream whose entry was removed is still used as a last resort.
 /// Entries that expired during an outage of the platform return within this time after it.
 pub const REMOVAL_GRACE: Duration = Duration::from_secs(2);
+/// Time for which an evacuation holds that the platform no longer lists since it came back from an
+/// earlier copy: the operator's writes since that copy are repeated, and an order ends only by its
+/// removal.
+pub const EVACUATION_RETENTION: Duration = Duration::from_secs(30);
 /// Time within which the platform removes the entry of a process that has ended, unless set.
 const DEFAULT_LAPSE: Duration = Duration::from_millis(4_800);
 /// Largest number of tombstones kept to pass removals on to other nodes.
@@ -299,7 +305,7 @@
                 }
                 Some(Arc::new(written.with_draining(has_drained)))
             }
-            Change::Unusable => None,
+            Change::Unusable | Change::Evacuated(_) => None,
             Change::Removed => {
                 if let Some(entry) = old_entry {
                     departure = Departure::latest(departure, Departure::of(&entry));
@@ -313,7 +319,10 @@
             }
         };
         self.last_change = self.last_change.max(revision);
-        let state = KeyState { revision, change, entry, retained, withheld_until: None, departure };
+        let evacuation = Evacuation::listed(&change);
+        let withheld_until = None;
+        let state =
+            KeyState { revision, change, entry, retained, withheld_until, departure, evacuation };
         self.keys.insert(key, state);
         self.version += 1;
         true
@@ -340,7 +349,9 @@
             let departure = old.as_ref().and_then(|s| s.departure).map(Departure::carried);
             let trusted = old.as_ref().and_then(KeyState::trusted_entry);
             let unlisted = trusted.filter(|e| !e.draining).map(|entry| self.retain(now, entry));
-            let mut state = KeyState { revision, change, ..KeyState::unlisted(departure) };
+            let evacuation = Evacuation::listed(&change);
+            let mut state =
+                KeyState { revision, change, evacuation, ..KeyState::unlisted(departure) };
             if let Change::Put(listed) = &state.change {
                 let at_address = born_at.get(&listed.address).copied();
                 let belief = judge(listed, trusted.map(Arc::as_ref), departure, at_address);
@@ -367,6 +378,7 @@
             // The copy may be older than the registration, which is then repeated.
             let unlisted = old.trusted_entry().filter(|e| !e.draining);
             state.retained = unlisted.map(|entry| self.retain(now, entry)).or(old.retained);
+            state.evacuation = old.evacuation.map(|e| e.unlisted(now + EVACUATION_RETENTION));
             self.keys.insert(key, state);
         }
         self.prune_tombstones();
@@ -421,10 +433,20 @@
                         availability: Availability::Ready,
                     });
                 }
+                Exception::Evacuated { key, domain, remaining } => {
+                    let state = self.keys.entry(key).or_insert_with(|| KeyState::unlisted(None));
+                    let until = now + remaining.min(EVACUATION_RETENTION);
+                    state.evacuation.get_or_insert(Evacuation { domain, until: Some(until) });
+                }
             }
         }
     }
 
+    /// Returns the failure domains whose upstreams get no requests.
+    pub fn evacuated(&self) -> FastSet<SmolStr> {
+        self.keys.values().filter_map(|s| s.evacuation.as_ref()).map(|e| e.domain.clone()).collect()
+    }
+
     /// Records that the process of `entry` has said itself that it leaves, whatever the platform lists
     /// then or later. It remains a last resort for a time. Returns whether that was not known.
     pub fn record_leaving(&mut self, now: Instant, entry: &Entry) -> bool {
@@ -483,9 +505,13 @@
         !entry.draining && !self.keys.values().any(|s| s.holds(entry) || has_drained(s))
     }
 
-    /// Returns the number of pools with a ready upstream, by failure domain.
+    /// Returns the number of pools with a ready upstream, by failure domain. Those of evacuated failure
+    /// domains do not count.
     pub fn coverage(&self) -> FastMap<SmolStr, usize> {
-        let ready = self.usable().filter(|(_, availability)| *availability == Availability::Ready);
+        let evacuated = self.evacuated();
+        let ready = self.usable().filter(|(entry, availability)| {
+            *availability == Availability::Ready && !evacuated.contains(&entry.domain)
+        });
         let mut domain_pools: Vec<(&SmolStr, &id::Pool)> =
             ready.map(|(e, _)| (&e.domain, &e.pool)).collect();
         domain_pools.sort_unstable();
@@ -532,7 +558,9 @@
 
     /// Drops the older half of the tombstones if there are too many.
     fn prune_tombstones(&mut self) {
-        let is_tombstone = |s: &KeyState| s.change == Change::Removed && s.retained.is_none();
+        let is_tombstone = |s: &KeyState| {
+            s.change == Change::Removed && s.retained.is_none() && s.evacuation.is_none()
+        };
         let mut revisions: Vec<Revision> =
             self.keys.values().filter(|s| is_tombstone(s)).map(|s| s.revision).collect();
         if revisions.len() <= MAX_TOMBSTONES {
--- a/crates/policy/src/relay/registry/key_state.rs
+++ b/crates/policy/src/relay/registry/key_state.rs
@@ -16,6 +16,27 @@
     pub(super) availability: Availability,
 }
 
+/// An order that upstreams of a failure domain get no requests.
+#[derive(Debug, Clone)]
+pub(super) struct Evacuation {
+    pub(super) domain: SmolStr,
+    /// When it ends without being listed; `None` while the platform lists it.
+    pub(super) until: Option<Instant>,
+}
+
+impl Evacuation {
+    /// Returns the evacuation that `change` lists.
+    pub(super) fn listed(change: &Change) -> Option<Evacuation> {
+        let Change::Evacuated(domain) = change else { return None };
+        Some(Evacuation { domain: domain.clone(), until: None })
+    }
+
+    /// Returns the evacuation as one that holds until `until` at most, as it is no longer listed.
+    pub(super) fn unlisted(self, until: Instant) -> Evacuation {
+        Evacuation { until: self.until.or(Some(until)), ..self }
+    }
+}
+
 #[derive(Debug)]
 pub(super) struct KeyState {
     pub(super) revision: Revision,
@@ -27,6 +48,7 @@
     pub(super) withheld_until: Option<Instant>,
     /// Newest process that is known to drain or to have gone.
     pub(super) departure: Option<Departure>,
+    pub(super) evacuation: Option<Evacuation>,
 }
 
 impl KeyState {
@@ -39,6 +61,7 @@
             retained: None,
             withheld_until: None,
             departure,
+            evacuation: None,
         }
     }
 
@@ -63,7 +86,9 @@
             // It has not been registered again since a restore.
             self.departure = Departure::latest(self.departure, Departure::of(entry).carried());
         }
-        self.withheld_until.take_if(|until| *until <= now).is_some() || expired.is_some()
+        let ended = self.evacuation.take_if(|e| e.until.is_some_and(|until| until <= now));
+        let withheld = self.withheld_until.take_if(|until| *until <= now);
+        withheld.is_some() || expired.is_some() || ended.is_some()
     }
 
     /// Returns the departure of a process that is listed as ready and believed to drain. The newest
@@ -98,6 +123,12 @@
             departure,
             remaining: until.saturating_duration_since(now),
         });
-        departed.into_iter().chain(unlisted)
+        let unlisted_order = self.evacuation.as_ref().and_then(|e| Some((e, e.until?)));
+        let evacuated = unlisted_order.map(|(evacuation, until)| Exception::Evacuated {
+            key: key.clone(),
+            domain: evacuation.domain.clone(),
+            remaining: until.saturating_duration_since(now),
+        });
+        departed.into_iter().chain(unlisted).chain(evacuated)
     }
 }
--- a/crates/policy/src/relay/restored.rs
+++ b/crates/policy/src/relay/restored.rs
@@ -95,6 +95,15 @@
         /// Remaining time for which it is used without being listed.
         remaining: Duration,
     },
+    /// An evacuation that holds although the copy does not list it.
+    Evacuated {
+        /// Key of the order.
+        key: SmolStr,
+        /// The failure domain.
+        domain: SmolStr,
+        /// Remaining time for which it holds without being listed.
+        remaining: Duration,
+    },
 }
 
 /// Judges `listed`, an entry of the copy, by what was known before the restore: the key's entry,
--- a/crates/policy/tests/relay_notice.rs
+++ b/crates/policy/tests/relay_notice.rs
@@ -293,14 +293,19 @@
     case.pools.set_node_count(Some(4));
     let choice = case.choice(0).expect("an upstream");
     let at = |case: &Case, at_ms: u64| case.start + ms(at_ms);
-    assert!(case.pools.may_send(at(&case, 0), choice.handle, None));
+    assert!(case.pools.may_send(at(&case, 0), choice.handle, &choice.entry, None));
     case.limit(10, &choice, one_per_second());
-    assert!(!case.pools.may_send(at(&case, 20), choice.handle, None));
-    assert!(case.pools.may_send(at(&case, 20), choice.handle, Some(at(&case, 15))));
+    assert!(!case.pools.may_send(at(&case, 20), choice.handle, &choice.entry, None));
+    assert!(case.pools.may_send(at(&case, 20), choice.handle, &choice.entry, Some(at(&case, 15))));
     let late = 15 + MAX_PERMIT_AGE.as_millis() as u64;
-    assert!(!case.pools.may_send(at(&case, late + 1), choice.handle, Some(at(&case, 15))));
-    assert!(case.pools.may_send(at(&case, 1_020), choice.handle, None));
-    assert!(!case.pools.may_send(at(&case, 1_021), choice.handle, None), "used up");
+    assert!(!case.pools.may_send(
+        at(&case, late + 1),
+        choice.handle,
+        &choice.entry,
+        Some(at(&case, 15))
+    ));
+    assert!(case.pools.may_send(at(&case, 1_020), choice.handle, &choice.entry, None));
+    assert!(!case.pools.may_send(at(&case, 1_021), choice.handle, &choice.entry, None), "used up");
 }
 
 #[test]
@@ -338,8 +343,8 @@
 fn a_request_that_waited_while_the_upstream_asked_for_a_rest_is_not_sent() {
     let mut case = Case::new(&["a"]);
     let choice = case.choice(0).expect("an upstream");
-    assert!(case.pools.may_send(case.start, choice.handle, None));
+    assert!(case.pools.may_send(case.start, choice.handle, &choice.entry, None));
     case.rest(10, 1_000);
-    assert!(!case.pools.may_send(case.start + ms(20), choice.handle, None));
-    assert!(case.pools.may_send(case.start + ms(1_010), choice.handle, None));
+    assert!(!case.pools.may_send(case.start + ms(20), choice.handle, &choice.entry, None));
+    assert!(case.pools.may_send(case.start + ms(1_010), choice.handle, &choice.entry, None));
 }
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -25,6 +25,7 @@
 use policy::relay::{
     crash_suspects::Suspect, pool::UpstreamHandle, registry::Entry, upstream::AttemptEnd,
 };
+use smol_str::SmolStr;
 use tokio::sync::Notify;
 
 use crate::{
@@ -252,6 +253,9 @@
         let acquired = self.acquire(&node, &entry, max_connections, message.repeatable);
         let mut connection = match tokio::time::timeout(left, acquired).await {
             Ok(Ok(connection)) => connection,
+            Ok(Err(e @ ConnectError::Evacuated(_))) => {
+                return AttemptResult::failed(AttemptEnd::Withheld, error_chain(&e));
+            }
             Ok(Err(e)) => {
                 self.crash_watch.record_sign(&node, &self, &entry);
                 return AttemptResult::failed(AttemptEnd::NotSent, error_chain(&e));
@@ -265,7 +269,7 @@
             self.release(&node, connection, None);
             return AttemptResult::failed(AttemptEnd::NotSent, "no time was left to send it");
         }
-        if !node.pools.lock().may_send(now, message.handle, message.permit) {
+        if !node.pools.lock().may_send(now, message.handle, &entry, message.permit) {
             self.release(&node, connection, None);
             let cause = "the upstream wants no more requests now";
             return AttemptResult::failed(AttemptEnd::Withheld, cause);
@@ -431,6 +435,8 @@
     Socket(#[from] std::io::Error),
     #[error("no connection: {0}")]
     Http(#[from] hyper::Error),
+    #[error("the failure domain {0} is evacuated")]
+    Evacuated(SmolStr),
 }
 
 async fn connect(
@@ -438,6 +444,9 @@
     entry: Arc<Entry>,
     permit: ConnectionPermit,
 ) -> Result<Connection, ConnectError> {
+    if node.pools.lock().is_evacuated(&entry.domain) {
+        return Err(ConnectError::Evacuated(entry.domain.clone()));
+    }
     let stream = socket::connect(entry.address.0, CONNECT_TIMEOUT).await?;
     let (sender, connection) =
         http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream)).await?;
--- a/crates/relay/src/crash_watch.rs
+++ b/crates/relay/src/crash_watch.rs
@@ -180,6 +180,10 @@
             }
             continue;
         }
+        if node.pools.lock().is_evacuated(&entry.domain) {
+            watch.state.lock().suspects.record_silence(node.now());
+            continue;
+        }
         let suspects = watch.state.lock().suspects.len();
         let last_reply = *node.last_reply.lock();
         match connections.accepts_connection(&node, &entry).await {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -73,6 +73,8 @@
     pub platform_data_age_ms: IntGauge,
     /// Upstreams eligible for attempts.
     pub upstreams: IntGauge,
+    /// Failure domains whose upstreams get no requests, by order of the operator.
+    pub evacuated_domains: IntGauge,
     /// Nodes believed alive, including this one.
     pub nodes: IntGauge,
     /// Log lines that the writer dropped because it fell behind.
@@ -169,6 +171,7 @@
             },
             platform_data_age_ms: gauge(&r, "word_age_ms", "Age of the platform's last word"),
             upstreams: gauge(&r, "upstreams", "Upstreams that may be used"),
+            evacuated_domains: gauge(&r, "evacuated_domains", "Failure domains that are evacuated"),
             nodes: gauge(&r, "nodes", "Nodes known to live, this one included"),
             log_dropped: gauge(&r, "log_dropped", "Log lines dropped by the writer"),
             registry: r,
--- a/crates/relay/src/platform_watch.rs
+++ b/crates/relay/src/platform_watch.rs
@@ -11,6 +11,7 @@
 };
 
 use base::{
+    hash::FastSet,
     id,
     unit::{Era, Generation, Position, Revision},
 };
@@ -19,6 +20,7 @@
     restored::Exception,
     watch::{self, WatchState},
 };
+use smol_str::SmolStr;
 use tokio_util::sync::CancellationToken;
 use wire::feed::{self, EraUpdate};
 
@@ -132,9 +134,10 @@
 }
 
 /// Returns the time within which a change that the platform has acknowledged must have its effect
-/// on this node: the shorter of the bounds for configurations and for draining upstreams.
+/// on this node: the shortest of the bounds for configurations, draining upstreams and evacuations.
 fn update_deadline(node: &Node) -> Duration {
-    node.settings.apply_limit.min(node.settings.drain_limit)
+    let shortest = node.settings.apply_limit.min(node.settings.drain_limit);
+    node.settings.evacuation_limit.map_or(shortest, |limit| limit.min(shortest))
 }
 
 /// Completes when the platform's last answer, to this node or to a peer, has become too old.
@@ -277,17 +280,42 @@
 /// of upstreams that it shows to have crashed. To be called several times a second.
 pub(crate) fn sync_pools(node: &Node) {
     let now = node.now();
-    let removed = {
+    let (removed, before, after) = {
         let mut registry = node.registry.lock();
         registry.expire_removed(now);
-        node.pools.lock().sync(now, &registry)
+        let mut pools = node.pools.lock();
+        let before = pools.evacuated().clone();
+        (pools.sync(now, &registry), before, pools.evacuated().clone())
     };
+    record_evacuations(node, &before, &after);
     if !removed.is_empty() {
         node.connections.remove_upstreams(&removed);
     }
     node.suspected_upstreams.check_registry(node);
 }
 
+/// Shows and logs how the evacuated failure domains have changed.
+fn record_evacuations(node: &Node, before: &FastSet<SmolStr>, after: &FastSet<SmolStr>) {
+    if before == after {
+        return;
+    }
+    node.metrics.evacuated_domains.set(after.len() as i64);
+    membership::refresh_coverage(node);
+    for domain in after.difference(before) {
+        let registry = node.registry.lock();
+        let upstreams = registry.usable().filter(|(e, _)| e.domain == *domain).count();
+        let (revision, data_age) = (registry.revision(), node.platform_data_age());
+        let data_age_ms = data_age.map(|age| age.as_millis() as u64);
+        tracing::warn!(
+            %domain, upstreams, %revision, data_age_ms,
+            "failure domain evacuated: its upstreams get no requests until the order is removed"
+        );
+    }
+    for domain in before.difference(after) {
+        tracing::warn!(%domain, "failure domain no longer evacuated");
+    }
+}
+
 fn log_event(event: &Event) {
     let Event { key, revision, change } = event;
     match change {
@@ -297,6 +325,8 @@
         ),
         Change::Unusable => tracing::warn!(%key, %revision, "ignoring an unusable registry entry"),
         Change::Removed => tracing::info!(%key, %revision, "registry entry has gone"),
+        // Logged with its effect.
+        Change::Evacuated(_) => {}
     }
 }
 
