--- a/crates/config/tests/relay.rs
+++ b/crates/config/tests/relay.rs
@@ -24,13 +24,14 @@
 #[test]
 fn given_settings_are_parsed() {
     let optional = "[fleet]\nseeds = 10.0.0.1:9, 10.0.0.2:9\nadvertise = 192.0.2.1:7\n[bounds]\napply = 5 s\ndrain = 3000 ms\n\
-        grace = 6 s\n[extra]\nratio = 0.2\nslack = 116\nwindow = 10 s\n";
+        evacuate = 4 s\ngrace = 6 s\n[extra]\nratio = 0.2\nslack = 116\nwindow = 10 s\n";
     let settings =
         Settings::parse("node.ini", &format!("{MINIMAL}{optional}")).expect("valid settings");
     assert_eq!(settings.seeds.len(), 2);
     assert_eq!(settings.advertised_addr, ([192, 0, 2, 1], 7).into());
     assert_eq!((settings.second_attempt_ratio, settings.second_attempt_slack), (0.2, 116.0));
     assert_eq!(settings.apply_limit, Duration::from_secs(5));
+    assert_eq!(settings.evacuation_limit, Some(Duration::from_secs(4)));
 }
 
 #[test]
@@ -68,6 +69,7 @@
     check(&format!("{MINIMAL}[extra]\nratoi = 0.2\n"), "[extra] ratoi");
     check(&format!("{MINIMAL}[fleet]\nseeds = one\n"), "[fleet] seeds: read \"one\"");
     check(&format!("{MINIMAL}[bounds]\ndrain = 3\n"), "[bounds] drain: read \"3\"");
+    check(&format!("{MINIMAL}[bounds]\nevacuate = soon\n"), "[bounds] evacuate: read \"soon\"");
     check(&format!("{MINIMAL}[burst]\n"), "section: read \"burst\"");
 }
 
