Pools without upstreams do not make searches short of capacity

Cause: after the whole fleet was killed while the platform's registry had lapsed, nodes listed some of the upstreams first. Searches that found pools without an upstream counted as failed there, so that admission sank to its least share and refused for three seconds after all upstreams had registered. Change: nothing is recorded for a pool to which nothing was sent as it had no upstream.

--- a/crates/policy/src/relay/request.rs
+++ b/crates/policy/src/relay/request.rs
@@ -222,6 +222,9 @@
                 PoolState { replied: true, .. } => Sample::Served,
                 // Its upstreams say themselves when they may be asked again.
                 PoolState { resting: true, .. } => continue,
+                // Nothing was sent, as the pool had no upstream: that shows no lack of capacity, and
+                // requests would still be refused once its upstreams are back.
+                PoolState { exhausted: true, tried, .. } if tried.is_empty() => continue,
                 PoolState { exhausted: true, .. } => Sample::Failed,
                 PoolState { tried, .. } if late && !tried.is_empty() => Sample::Failed,
                 // The pool might have replied if the request had not ended early.
