A fleet that starts from nothing learns of the platform's return sooner

Cause: nodes that know nothing waited a second for a call that a silent platform never answers, and the watchers paused for 0.7 s after each batch of upstreams although pools still had none. Change: the first reads time out after 0.4 s, half as long again after each failure; batches are 0.15 s apart while a pool of the configuration has no upstream.

--- a/crates/policy/src/relay/pool.rs
+++ b/crates/policy/src/relay/pool.rs
@@ -254,6 +254,11 @@
         self.pools.get_mut(name).unwrap_or_else(|| unreachable!())
     }
 
+    /// Returns whether `pool` has an upstream that may be used.
+    pub fn has_upstream(&self, pool: &id::Pool) -> bool {
+        self.pools.get(pool).is_some_and(|p| !p.handles.is_empty())
+    }
+
     /// Returns whether upstreams of the failure domain `domain` get no requests.
     pub fn is_evacuated(&self, domain: &SmolStr) -> bool {
         self.evacuated.contains(domain)
--- a/crates/policy/src/relay/route.rs
+++ b/crates/policy/src/relay/route.rs
@@ -30,6 +30,17 @@
     },
 }
 
+impl Target {
+    /// Returns the pools.
+    pub fn pools(&self) -> impl Iterator<Item = &id::Pool> {
+        let (weighted, pools) = match self {
+            Target::SinglePool(weighted) => (weighted.as_slice(), &[][..]),
+            Target::FanOut { pools, .. } => (&[][..], pools.as_slice()),
+        };
+        weighted.iter().map(|w| &w.pool).chain(pools)
+    }
+}
+
 /// Parameters of the requests of one route.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Route {
@@ -99,6 +110,11 @@
         self.hosts.get(host)?.iter().find(|r| path.starts_with(r.prefix.as_str()))
     }
 
+    /// Returns the pools of all routes. A pool of several routes comes more than once.
+    pub fn pools(&self) -> impl Iterator<Item = &id::Pool> {
+        self.hosts.values().flatten().flat_map(|route| route.target.pools())
+    }
+
     /// Returns the number of routes.
     pub fn len(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/crates/policy/src/relay/watch.rs
+++ b/crates/policy/src/relay/watch.rs
@@ -47,6 +47,18 @@
 /// a VM from 4 s after its start on.
 const JOIN_TIME: Duration = Duration::from_secs(3);
 
+/// Pause after a watch that returned changes. It batches changes: each call has its price, and
+/// upstreams of a starting fleet register one by one. It must stay well under the time within which
+/// a configuration is to be in force.
+const BATCH_PAUSE: Duration = Duration::from_millis(700);
+/// The same while a pool of the configuration has no upstream, so that its requests are refused.
+const SHORT_BATCH_PAUSE: Duration = Duration::from_millis(150);
+/// Time limit of the first read of a node that knows nothing: it cannot serve anybody, and the call may
+/// have gone to a platform that has just come back and never answers it.
+const FIRST_READ_TIMEOUT: Duration = Duration::from_millis(400);
+/// Factor by which the limit grows with each failure, as the platform may be slow.
+const FIRST_READ_GROWTH: f64 = 1.5;
+
 /// State of a node that decides whether it watches the platform.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct WatchState {
@@ -102,6 +114,17 @@
     delay.min(limit).mul_f64(1.0 + RETRY_JITTER_SHARE * (2.0 * chance - 1.0))
 }
 
+/// Returns the pause after a watch that returned changes.
+pub fn batch_pause(has_upstreams_for_all_pools: bool) -> Duration {
+    if has_upstreams_for_all_pools { BATCH_PAUSE } else { SHORT_BATCH_PAUSE }
+}
+
+/// Returns the time limit of a read by a node that has no configuration or no upstreams yet, after
+/// `failures` failed calls.
+pub fn first_read_timeout(failures: u32) -> Duration {
+    FIRST_READ_TIMEOUT.mul_f64(FIRST_READ_GROWTH.powi(failures.min(8) as i32))
+}
+
 /// Returns whether a node watches the platform for others. `others` is the number of other nodes,
 /// `before` the number of nodes in its failure domain that precede it in the common order of all
 /// nodes.
--- a/crates/policy/tests/relay_watch.rs
+++ b/crates/policy/tests/relay_watch.rs
@@ -7,7 +7,8 @@
 
 use policy::relay::watch::{
     SMALL_FLEET_NODES, SMALL_FLEET_WATCHERS_PER_DOMAIN, WATCHERS_PER_DOMAIN, WatchState,
-    is_watcher, relies_on_peers, retry_delay, stale_age, watch_timeout,
+    batch_pause, first_read_timeout, is_watcher, relies_on_peers, retry_delay, stale_age,
+    watch_timeout,
 };
 
 const APPLY: Duration = Duration::from_secs(5);
@@ -115,3 +116,17 @@
     assert!((0..SMALL_FLEET_NODES).all(|before| is_watcher(SMALL_FLEET_NODES - 1, before)));
     assert_eq!((0..30).filter(|before| is_watcher(118, *before)).count(), WATCHERS_PER_DOMAIN);
 }
+
+#[test]
+fn a_node_that_knows_nothing_asks_again_before_its_callers_give_up() {
+    assert!(first_read_timeout(0) <= ms(500), "half of the shortest deadlines");
+    assert!(first_read_timeout(4) >= ms(2_000), "a slow platform must be able to answer");
+    assert_eq!(first_read_timeout(1_000), first_read_timeout(100));
+}
+
+#[test]
+fn changes_are_batched_for_less_time_while_a_pool_has_no_upstream() {
+    assert!(batch_pause(false) * 4 < batch_pause(true));
+    // With six watchers, well under a hundredth of the calls that the platform allows.
+    assert!(batch_pause(false) >= ms(100));
+}
--- a/crates/relay/src/platform_watch.rs
+++ b/crates/relay/src/platform_watch.rs
@@ -34,10 +34,6 @@
 
 /// Interval at which a node that relies on its peers checks whether it still can.
 const RELIANCE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
-/// Pause after a watch that returned changes. It batches changes: each call has its price, and
-/// upstreams of a starting fleet register one by one. It must stay well under the 3 s within
-/// which a configuration is to be in force.
-const BATCH_PAUSE: Duration = Duration::from_millis(700);
 /// Time for which a node waits for its own watch to deliver what a peer already announces.
 const PEER_FETCH_DELAY: Duration = Duration::from_millis(250);
 
@@ -65,7 +61,7 @@
                 call = Call::Probe;
                 continue;
             }
-            result = poll(&node, call) => result,
+            result = poll(&node, call, failures) => result,
         };
         match result {
             Ok(()) => {
@@ -187,10 +183,17 @@
 }
 
 /// Makes one call and applies its result.
-async fn poll(node: &Arc<Node>, call: Call) -> Result<(), SourceError> {
+async fn poll(node: &Arc<Node>, call: Call, failures: u32) -> Result<(), SourceError> {
     if call == Call::ReadAll {
-        let stale = !is_seed(node) && !node.registry_loaded.load(Ordering::Relaxed);
-        let changes = node.platform.read(stale).await?;
+        let is_loaded = node.registry_loaded.load(Ordering::Relaxed);
+        let stale = !is_seed(node) && !is_loaded;
+        let read = node.platform.read(stale);
+        let changes = match is_loaded {
+            true => read.await?,
+            false => tokio::time::timeout(watch::first_read_timeout(failures), read)
+                .await
+                .map_err(|_| SourceError::Unavailable("no answer in time".to_owned()))??,
+        };
         apply_changes(node, changes, true)?;
         if !stale {
             record_data_time(node, Some(node.now()));
@@ -207,7 +210,8 @@
     apply_changes(node, changes, false)?;
     record_data_time(node, Some(node.now()));
     if has_changes {
-        tokio::time::sleep(BATCH_PAUSE).await;
+        let pause = watch::batch_pause(has_upstreams_for_all_pools(node));
+        tokio::time::sleep(pause).await;
     } else {
         // Peers that hear soon that the platform answers need not ask it themselves.
         membership::gossip_now(node);
@@ -215,6 +219,13 @@
     Ok(())
 }
 
+/// Returns whether each pool of the configuration in force has an upstream.
+fn has_upstreams_for_all_pools(node: &Node) -> bool {
+    let Some(table) = node.route_table() else { return false };
+    let pools = node.pools.lock();
+    table.pools().all(|pool| pools.has_upstream(pool))
+}
+
 /// Applies changes from the platform or a peer. With `is_snapshot`, they are all present entries
 /// and replace the registry's. Changes of an earlier era are refused; those of a later one are
 /// applied only as a snapshot.
