Cold upstreams get no more requests than they state, summed over nodes

Cause: a cold upstream counted as 1.6 times slower only, whatever rate it can take, and for as long as its first registry entry said. Change: `cold-per-s` and `cold-s` of the configuration give each cold upstream a limit on all nodes together. It uses the permits and the averages of stated limits with parameters of its own (1 s, [bounds] cold_excess and cold_slack). Nodes learn of coldness from registry entries as they are rewritten and from the header Cold-Ms, and presume it after failed connections and the end of an evacuation. Warm upstreams of a pool go first; what an entirely cold pool cannot take is refused at once with a time to return. Malformed cold times are ignored with a log line. Metrics balsamgate_cold_upstreams and balsamgate_cold_withheld_total.

--- a/crates/config/src/relay.rs
+++ b/crates/config/src/relay.rs
@@ -47,6 +47,11 @@
     /// Time within which upstreams of an evacuated failure domain stop receiving requests; `None` if
     /// the operator does not evacuate failure domains.
     pub evacuation_limit: Option<Duration>,
+    /// Requests that a cold upstream tolerates in any second from all nodes together, as a multiple of
+    /// what it states.
+    pub cold_excess: f64,
+    /// Requests that it tolerates in addition.
+    pub cold_slack: f64,
     /// Time from the stop signal until the process must have exited.
     pub stop_grace: Duration,
     /// Second attempts (retries and hedged requests) allowed per request to a pool, across all
@@ -91,6 +96,8 @@
     "[bounds] apply", "100 ms to 10 min", "5 s", "Time within which a new configuration is in force on every node";
     "[bounds] drain", "100 ms to 10 min", "3 s", "Time within which a leaving upstream stops receiving requests";
     "[bounds] evacuate", "100 ms to 10 min", "(none)", "Time within which upstreams of an evacuated failure domain stop receiving requests";
+    "[bounds] cold_excess", "1 to 100", "1.5", "Requests that a cold upstream tolerates in any second from all nodes, as a multiple of what it states";
+    "[bounds] cold_slack", "0 to 100000", "5", "Requests that a cold upstream tolerates in any second in addition to cold_excess";
     "[bounds] grace", "1 s to 30 min", "30 s", "Time from the stop signal until the process must have exited";
     "[extra] ratio", "0 to 1", "0.05", "Second attempts allowed per request to a pool, across all nodes";
     "[extra] slack", "0 to 100000", "0", "Second attempts allowed per pool and window in addition to ratio, across all nodes";
@@ -142,8 +149,13 @@
         let drain = bounds.take_duration(f, "drain", 100..=600_000, Some(3_000));
         let evacuate_range = 100..=600_000;
         let evacuate = bounds.take_optional_duration(f, "evacuate", evacuate_range);
+        let excess =
+            bounds.take(f, "cold_excess", "1 to 100", Some(1.5), |v| within(v, 1.0, 100.0));
+        let allowed = "0 to 100000";
+        let cold_slack =
+            bounds.take(f, "cold_slack", allowed, Some(5.0), |v| within(v, 0.0, 100_000.0));
         let grace = bounds.take_duration(f, "grace", 1_000..=1_800_000, Some(30_000));
-        bounds.finish(f, "apply, drain, evacuate, grace");
+        bounds.finish(f, "apply, drain, evacuate, cold_excess, cold_slack, grace");
 
         let mut extra = f.take_one("extra", false);
         let ratio = extra.take(f, "ratio", "0 to 1", Some(0.05), |v| within(v, 0.0, 1.0));
@@ -185,6 +197,8 @@
                 apply_limit: apply?,
                 drain_limit: drain?,
                 evacuation_limit: evacuate?,
+                cold_excess: excess?,
+                cold_slack: cold_slack?,
                 stop_grace: grace?,
                 second_attempt_ratio: ratio?,
                 second_attempt_slack: slack?,
--- a/crates/config/tests/relay.rs
+++ b/crates/config/tests/relay.rs
@@ -15,6 +15,7 @@
     assert_eq!(settings.seeds, []);
     assert_eq!(settings.advertised_addr, settings.peer_addr);
     assert_eq!(settings.address_validity, Duration::from_secs(1));
+    assert_eq!((settings.cold_excess, settings.cold_slack), (1.5, 5.0));
     assert_eq!(
         (settings.drain_limit, settings.stop_grace),
         (Duration::from_secs(3), Duration::from_secs(30))
@@ -24,13 +25,14 @@
 #[test]
 fn given_settings_are_parsed() {
     let optional = "[fleet]\nseeds = 10.0.0.1:9, 10.0.0.2:9\nadvertise = 192.0.2.1:7\n[bounds]\napply = 5 s\ndrain = 3000 ms\n\
-        grace = 6 s\n[extra]\nratio = 0.2\nslack = 116\nwindow = 10 s\n";
+        grace = 6 s\ncold_excess = 2\ncold_slack = 0\n[extra]\nratio = 0.2\nslack = 116\nwindow = 10 s\n";
     let settings =
         Settings::parse("node.ini", &format!("{MINIMAL}{optional}")).expect("valid settings");
     assert_eq!(settings.seeds.len(), 2);
     assert_eq!(settings.advertised_addr, ([192, 0, 2, 1], 7).into());
     assert_eq!((settings.second_attempt_ratio, settings.second_attempt_slack), (0.2, 116.0));
     assert_eq!(settings.apply_limit, Duration::from_secs(5));
+    assert_eq!((settings.cold_excess, settings.cold_slack), (2.0, 0.0));
 }
 
 #[test]
--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -5,6 +5,7 @@
 //! registry lists the upstreams of each pool.
 
 pub mod admission;
+pub mod cold;
 pub mod completed;
 pub mod crash_quarantine;
 pub mod crash_suspects;
--- a/crates/policy/src/relay/demand.rs
+++ b/crates/policy/src/relay/demand.rs
@@ -188,11 +188,16 @@
             let average = Average { own: *own, estimate: *own, completed: None };
             self.pools.entry(*key).or_insert(average);
         }
-        if now.saturating_duration_since(self.epoch_start) >= self.epoch_length(nodes) {
+        if self.is_epoch_due(now, nodes) {
             self.begin(now, self.epoch.saturating_add(1), |key| demand.get(&key).copied());
         }
     }
 
+    /// Returns whether [`Averages::update`] is to begin the next epoch.
+    pub fn is_epoch_due(&self, now: Instant, nodes: usize) -> bool {
+        now.saturating_duration_since(self.epoch_start) >= self.epoch_length(nodes)
+    }
+
     /// Returns whether it is time for a round, and schedules the next.
     pub fn is_round_due(&mut self, now: Instant, rng: &mut dyn RngCore) -> bool {
         let is_due = !self.pools.is_empty() && now >= self.next_round;
--- a/crates/policy/src/relay/limiter.rs
+++ b/crates/policy/src/relay/limiter.rs
@@ -9,14 +9,11 @@
 
 use base::unit::Rate;
 
-/// Longest time between taking a permit and sending the request.
+/// Longest time between taking a permit for a stated limit and sending the request.
 pub const MAX_PERMIT_AGE: Duration = Duration::from_millis(500);
-/// Window in which upstreams measure the requests that they get.
-const WINDOW: Duration = Duration::from_secs(4);
-/// Requests that an upstream tolerates in the window, as a multiple of what its limit allows.
-const TOLERANCE: f64 = 1.5;
-/// Requests that it tolerates in addition, however low its limit.
-const TOLERATED_EXTRA: f64 = 5.0;
+/// The same for a cold upstream, whose window is shorter: permits that wait for a connection and are
+/// then used together must not fill a window.
+const MAX_COLD_PERMIT_AGE: Duration = Duration::from_millis(100);
 /// Standard deviations of the number of requests in a window that must fit into the tolerance.
 const DEVIATIONS: f64 = 3.0;
 /// Shortest life of a permit.
@@ -42,32 +39,75 @@
 /// Longest interval between two permits.
 const MAX_INTERVAL: Duration = Duration::from_secs(1_000_000);
 
-/// Returns the equal part of `limit` for one of `nodes`, this one included. While none is known, it
-/// is nothing until `age`, the time since the start of the process, shows that there is none.
-pub fn equal_part(limit: Rate, nodes: Option<usize>, age: Duration) -> Rate {
-    match nodes {
-        Some(nodes) => shared_part(limit, 1.0 / nodes.max(1) as f64),
-        None if age < LONE_NODE_DELAY => Rate::ZERO,
-        None => shared_part(limit, 1.0),
-    }
+/// What an upstream tolerates from all nodes together in any window.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Bound {
+    /// Window in which the upstream measures the requests that it gets.
+    window: Duration,
+    /// Requests that it tolerates in the window, as a multiple of what its limit allows.
+    factor: f64,
+    /// Requests that it tolerates in addition, however low its limit.
+    extra: f64,
+    /// Longest time between taking a permit and sending the request.
+    max_permit_age: Duration,
 }
 
-/// Returns the part of `limit` for a node that may use `share` of it, from 0 to 1.
-pub fn shared_part(limit: Rate, share: f64) -> Rate {
-    Rate::new(limit.per_second().max(MIN_LIMIT) * LIMIT_SHARE * share)
-}
+impl Bound {
+    /// Bound of limits that upstreams state in their replies.
+    pub const STATED: Bound = Bound {
+        window: Duration::from_secs(4),
+        factor: 1.5,
+        extra: 5.0,
+        max_permit_age: MAX_PERMIT_AGE,
+    };
+
+    /// Bound of cold upstreams: in any second, `factor` times what the limit allows, and `extra`
+    /// requests.
+    pub const fn cold(factor: f64, extra: f64) -> Bound {
+        let window = Duration::from_secs(1);
+        Bound { window, factor, extra, max_permit_age: MAX_COLD_PERMIT_AGE }
+    }
+
+    /// Returns the equal part of `limit` for one of `nodes`, this one included. While none is known,
+    /// it is nothing until `age`, the time since the start of the process, shows that there is none.
+    pub fn equal_part(&self, limit: Rate, nodes: Option<usize>, age: Duration) -> Rate {
+        match nodes {
+            Some(nodes) => self.shared_part(limit, 1.0 / nodes.max(1) as f64),
+            None if age < LONE_NODE_DELAY => Rate::ZERO,
+            None => self.shared_part(limit, 1.0),
+        }
+    }
+
+    /// Returns the part of `limit` for a node that may use `share` of it, from 0 to 1.
+    pub fn shared_part(&self, limit: Rate, share: f64) -> Rate {
+        Rate::new(self.allowed(limit) * share)
+    }
+
+    /// Returns the requests per second that the parts of all nodes add up to. With a short window it
+    /// may be less than [`LIMIT_SHARE`] of the limit, as permits that live for less than
+    /// [`MIN_LIFETIME`] mostly expire unused.
+    fn allowed(&self, limit: Rate) -> f64 {
+        let longest_window = (self.window + MIN_LIFETIME).as_secs_f64();
+        let wanted = limit.per_second().max(MIN_LIMIT) * LIMIT_SHARE;
+        wanted.min(self.tolerated_mean(limit) / longest_window)
+    }
 
-/// Returns the longest time for which permits can be used under `limit`, so that the tolerance holds
-/// if all nodes have been idle and use all their permits at once. Each node's count in the window
-/// is random by its phase, in large fleets nearly as in a Poisson distribution.
-fn max_lifetime(limit: Rate) -> Duration {
-    let allowed = limit.per_second().max(MIN_LIMIT) * LIMIT_SHARE;
-    let tolerated = limit.per_second() * TOLERANCE * WINDOW.as_secs_f64() + TOLERATED_EXTRA;
-    // The mean that solves `mean + DEVIATIONS * sqrt(mean) = tolerated`.
-    let root = ((DEVIATIONS.powi(2) + 4.0 * tolerated).sqrt() - DEVIATIONS) / 2.0;
-    let seconds = root.powi(2) / allowed - WINDOW.as_secs_f64();
-    let lifetime = Duration::try_from_secs_f64(seconds.max(0.0)).unwrap_or(MAX_LIFETIME);
-    lifetime.clamp(MIN_LIFETIME, MAX_LIFETIME)
+    /// Returns the mean number of requests in a window with which the bound holds. Each node's count
+    /// in the window is random by its phase, in large fleets nearly as in a Poisson distribution.
+    fn tolerated_mean(&self, limit: Rate) -> f64 {
+        let tolerated = limit.per_second() * self.factor * self.window.as_secs_f64() + self.extra;
+        // Solves `mean + DEVIATIONS * sqrt(mean) = tolerated`.
+        let root = ((DEVIATIONS.powi(2) + 4.0 * tolerated).sqrt() - DEVIATIONS) / 2.0;
+        root.powi(2)
+    }
+
+    /// Returns the longest time for which permits can be used under `limit`, so that the bound holds
+    /// if all nodes have been idle and use all their permits at once.
+    fn max_lifetime(&self, limit: Rate) -> Duration {
+        let seconds = self.tolerated_mean(limit) / self.allowed(limit) - self.window.as_secs_f64();
+        let lifetime = Duration::try_from_secs_f64(seconds.max(0.0)).unwrap_or(MAX_LIFETIME);
+        lifetime.clamp(MIN_LIFETIME, MAX_LIFETIME)
+    }
 }
 
 /// Which permits an attempt may use.
@@ -85,6 +125,8 @@
 pub struct Limiter {
     /// Limit on all nodes together, as stated.
     limit: Rate,
+    bound: Bound,
+    created: Instant,
     /// Part of this node.
     part: Rate,
     /// When the oldest unused permit came, or the next one comes. Permits that have expired are
@@ -98,7 +140,25 @@
     /// Creates a limiter without a part for an upstream that states `limit`. `phase` is random, from
     /// 0 to 1.
     pub fn new(now: Instant, limit: Rate, phase: f64) -> Limiter {
-        Limiter { limit, part: Rate::ZERO, next: now, phase }
+        let (bound, part) = (Bound::STATED, Rate::ZERO);
+        Limiter { limit, bound, created: now, part, next: now, phase }
+    }
+
+    /// Sets what the upstream tolerates.
+    pub fn with_bound(self, bound: Bound) -> Limiter {
+        Limiter { bound, ..self }
+    }
+
+    /// Returns what the upstream tolerates.
+    pub fn bound(&self) -> Bound {
+        self.bound
+    }
+
+    /// Returns whether a permit taken at `taken` may still be used. One from before this limiter was
+    /// created was not taken from it.
+    pub fn accepts(&self, now: Instant, taken: Instant) -> bool {
+        let age = now.saturating_duration_since(taken);
+        taken >= self.created && age <= self.bound.max_permit_age
     }
 
     /// Returns the stated limit on all nodes together.
@@ -139,7 +199,7 @@
     /// Returns the time for which a permit can be used.
     fn lifetime(&self) -> Duration {
         let wanted = interval(self.part).mul_f64(LIFETIME_INTERVALS).max(MIN_LIFETIME);
-        wanted.min(max_lifetime(self.limit))
+        wanted.min(self.bound.max_lifetime(self.limit))
     }
 
     /// Returns whether a permit is there for an attempt.
--- a/crates/policy/src/relay/pool.rs
+++ b/crates/policy/src/relay/pool.rs
@@ -3,6 +3,7 @@
 //! Upstreams may pause, be slow, shed load, fail part of their requests, have just started, or
 //! disappear without notice, while each node sees only a small part of the requests.
 
+mod coldness;
 mod limits;
 
 use std::{
@@ -13,18 +14,20 @@
 use base::{
     hash::{self, FastMap, FastSet},
     id,
+    unit::Era,
 };
 use rand::{Rng, RngCore};
 use smol_str::SmolStr;
 
 use super::{
     admission::{PoolAdmission, Sample},
+    cold,
     demand::{Averages, Key, RankedMeter},
-    limiter::{Attempt, Limiter, MAX_PERMIT_AGE},
+    limiter::{Attempt, Bound, Limiter},
     notice::Rest,
-    registry::{Availability, Entry, Registry},
+    registry::{Availability, Entry, EraRelation, Registry},
     retry_budget::{RetryBound, RetryBudget},
-    upstream::{AttemptEnd, Upstream, UpstreamStats},
+    upstream::{AttemptEnd, Lack, Upstream, UpstreamStats},
 };
 
 pub use limits::{Basis, Learned};
@@ -36,6 +39,10 @@
 const REMOTE_DOMAIN_PENALTY: Duration = Duration::from_millis(16);
 /// Factor on the expected latency of an upstream that has just started.
 const COLD_FACTOR: f64 = 1.6;
+/// Penalty for a cold upstream of a pool that bounds the requests to cold ones: above what failures
+/// and other failure domains add, so that warm upstreams are used, and below that for refusals, so
+/// that cold ones serve what they can while warm ones are full.
+const COLD_PENALTY: Duration = Duration::from_millis(600);
 /// An upstream is stuck if an attempt has been in flight for more than this many times its
 /// median latency, and for more than [`MIN_STUCK_AGE`].
 const STUCK_FACTOR: u32 = 3;
@@ -76,7 +83,7 @@
     /// Whether an attempt to it is overdue, so that a second attempt to another upstream should
     /// be sent early.
     pub stuck: bool,
-    /// Whether the upstream states a limit on the requests from all nodes together.
+    /// Whether a limit on the requests from all nodes together applies to the upstream.
     pub limited: bool,
 }
 
@@ -93,6 +100,7 @@
     rest: Rest,
     limiter: Option<Limiter>,
     limit_heard_at: Option<Instant>,
+    cold: cold::Belief,
     removed_at: Instant,
 }
 
@@ -103,13 +111,15 @@
             rest: stats.rest(),
             limiter: stats.limiter().cloned(),
             limit_heard_at: stats.limit_heard_at(),
+            cold: *stats.cold(),
             removed_at: now,
         }
     }
 
     fn is_useful(&self, now: Instant) -> bool {
         let is_recent = now.saturating_duration_since(self.removed_at) < LIMIT_RETENTION;
-        self.rest.end(now).is_some() || self.limiter.is_some() && is_recent
+        let is_limited = self.limiter.is_some() || self.cold.is_cold(now);
+        self.rest.end(now).is_some() || is_limited && is_recent
     }
 }
 
@@ -146,6 +156,8 @@
     last_handle: u64,
     /// Registry version of the last [`Pools::sync`].
     synced_version: Option<u64>,
+    /// Era of the registry at that time.
+    synced_era: Option<Era>,
     /// Number of nodes that share the requests, this one included; `None` while no other is known.
     node_count: Option<usize>,
     /// Number of nodes that may exist, this one included.
@@ -157,6 +169,23 @@
     limited: FastSet<UpstreamHandle>,
     /// Failure domains whose upstreams get no requests.
     evacuated: FastSet<SmolStr>,
+    coldness: Coldness,
+}
+
+/// What the pools know of cold upstreams.
+#[derive(Debug)]
+struct Coldness {
+    /// Pools that bound the requests to cold upstreams.
+    limits: FastMap<id::Pool, cold::Limit>,
+    bound: Bound,
+    /// Determines when this node's permits come.
+    seed: u64,
+    /// Cold upstreams of these pools.
+    upstreams: FastSet<UpstreamHandle>,
+    /// Changes that have not been taken.
+    changes: Vec<cold::Change>,
+    /// Number of attempts withheld.
+    withheld: u64,
 }
 
 impl Pools {
@@ -172,6 +201,7 @@
             removed: FastMap::default(),
             last_handle: 0,
             synced_version: None,
+            synced_era: None,
             node_count: None,
             fleet_size: 1,
             averages: Averages::new(process_start),
@@ -179,9 +209,23 @@
             process_keys: FastMap::default(),
             limited: FastSet::default(),
             evacuated: FastSet::default(),
+            coldness: Coldness {
+                limits: FastMap::default(),
+                bound: cold::DEFAULT_BOUND,
+                seed: 0,
+                upstreams: FastSet::default(),
+                changes: Vec::new(),
+                withheld: 0,
+            },
         }
     }
 
+    /// Sets what cold upstreams tolerate. `seed` is random: it determines when permits for cold
+    /// upstreams come at this node.
+    pub fn with_cold_bound(self, bound: Bound, seed: u64) -> Pools {
+        Pools { coldness: Coldness { bound, seed, ..self.coldness }, ..self }
+    }
+
     /// Sets the bound on second attempts. Attempts that were already sent count against it.
     pub fn set_retry_bound(&mut self, bound: RetryBound) {
         self.bound = bound;
@@ -207,23 +251,38 @@
             return Vec::new();
         }
         self.synced_version = Some(registry.version());
-        self.evacuated = registry.evacuated();
+        let evacuated = registry.evacuated();
+        let released = self.evacuated.difference(&evacuated).cloned().collect();
+        self.evacuated = evacuated;
         let mut old: FastMap<Process, (UpstreamHandle, Upstream)> =
             self.upstreams.drain().map(|(handle, u)| (process(&u.entry), (handle, u))).collect();
         self.pools.values_mut().for_each(|p| p.handles.clear());
         self.removed.retain(|_, wishes| wishes.is_useful(now));
+        let same_era = self
+            .synced_era
+            .replace(registry.position().era)
+            .is_none_or(|era| registry.relation(era) == EraRelation::Same);
+        let mut rewritten = Vec::new();
         for (entry, availability) in registry.usable() {
             let same_address =
                 |(_, u): &(UpstreamHandle, Upstream)| u.entry.address == entry.address;
             let (handle, stats) = match old.remove(&process(entry)).filter(same_address) {
-                Some((handle, upstream)) => (handle, upstream.stats),
+                Some((handle, upstream)) => {
+                    // A listing after a restore repeats what was written long ago.
+                    if same_era && !Arc::ptr_eq(&upstream.entry, entry) {
+                        rewritten.push(handle);
+                    }
+                    (handle, upstream.stats)
+                }
                 None => {
                     self.last_handle += 1;
                     let mut stats = UpstreamStats::new(now, entry);
                     if let Some(wishes) = self.removed.remove(&process(entry)) {
                         stats.set_rest(wishes.rest);
                         stats.set_limiter(wishes.limit_heard_at, wishes.limiter);
+                        *stats.cold_mut() = wishes.cold;
                     }
+                    rewritten.push(UpstreamHandle(self.last_handle));
                     (UpstreamHandle(self.last_handle), stats)
                 }
             };
@@ -238,6 +297,7 @@
         self.limited = limited.map(|(handle, _)| *handle).collect();
         let removed = old.iter().map(|(process, (_, u))| (process.clone(), Wishes::of(now, u)));
         self.removed.extend(removed.filter(|(_, wishes)| wishes.is_useful(now)));
+        self.sync_coldness(now, &rewritten, &released);
         old.into_values().map(|(handle, _)| handle).collect()
     }
 
@@ -296,19 +356,16 @@
         if self.is_evacuated(&entry.domain) {
             return false;
         }
-        let Some(upstream) = self.upstreams.get_mut(&handle) else { return true };
+        // Another process, which may be cold, may have the address of one that is not registered.
+        let Some(upstream) = self.upstreams.get_mut(&handle) else {
+            return !self.coldness.limits.contains_key(&entry.pool);
+        };
         if upstream.stats.rest().end(now).is_some() {
             return false;
         }
-        let Some(limiter) = upstream.stats.limiter_mut() else { return true };
-        if permit.is_some_and(|at| now.saturating_duration_since(at) <= MAX_PERMIT_AGE) {
-            return true;
-        }
-        let is_allowed = limiter.allows(now, Attempt::First);
-        if is_allowed {
-            limiter.take(now);
-        }
-        is_allowed
+        let taken = upstream.stats.try_take(now, permit);
+        self.coldness.withheld += u64::from(taken == Err(Lack::Cold));
+        taken.is_ok()
     }
 
     /// Returns when the first upstream of `pool` may get such attempts again; `None` if one may get
@@ -369,7 +426,7 @@
         let share = connection_limit as f64 * SHARED_CONNECTIONS / nodes;
         let max_connections = (share as usize).max(1);
         let stuck = self.is_stuck(now, &upstream.stats);
-        let limited = upstream.stats.limiter().is_some();
+        let limited = upstream.stats.part(now).is_some();
         Some(Choice { handle, entry: upstream.entry.clone(), max_connections, stuck, limited })
     }
 
@@ -382,6 +439,9 @@
         if stats.is_cold(now) {
             cost = cost.mul_f64(COLD_FACTOR);
         }
+        if stats.cold_limiter(now).is_some() {
+            cost += COLD_PENALTY;
+        }
         if upstream.entry.domain != self.domain {
             cost += REMOTE_DOMAIN_PENALTY;
         }
--- a/crates/policy/src/relay/pool/limits.rs
+++ b/crates/policy/src/relay/pool/limits.rs
@@ -3,13 +3,17 @@
 
 use std::time::{Duration, Instant};
 
-use base::{hash::FastMap, id, unit::Rate};
+use base::{
+    hash::{FastMap, FastSet},
+    id,
+    unit::Rate,
+};
 use rand::{Rng, RngCore};
 
 use super::{Pools, Upstream, UpstreamHandle, pool_key, process_key};
 use crate::relay::{
     demand::{Exchange, Key, Kind, LimitReport, MAX_ITEMS},
-    limiter::{Limiter, equal_part, shared_part},
+    limiter::Limiter,
     notice::Limit,
 };
 
@@ -53,7 +57,7 @@
     /// Returns the time in which the permits of `pool` serve the requests that compete for one of
     /// them; zero if not all its upstreams state limits.
     pub(super) fn competition_delay(&self, now: Instant, pool: &id::Pool) -> Duration {
-        let Some(capacity) = self.limited_capacity(pool).filter(|c| *c > 0.0) else {
+        let Some(capacity) = self.limited_capacity(now, pool).filter(|c| *c > 0.0) else {
             return Duration::ZERO;
         };
         let waiting = (self.demand_for(now, pool) / capacity - 1.0).max(0.0);
@@ -61,15 +65,14 @@
         delay.unwrap_or(MAX_COMPETITION_DELAY).min(MAX_COMPETITION_DELAY)
     }
 
-    /// Returns the requests per second that this node may send to `pool`; `None` if one of its
-    /// upstreams states no limit, or it has none.
-    fn limited_capacity(&self, pool: &id::Pool) -> Option<f64> {
+    /// Returns the requests per second that this node may send to `pool`; `None` if no limit applies
+    /// to one of its upstreams, or it has none.
+    fn limited_capacity(&self, now: Instant, pool: &id::Pool) -> Option<f64> {
         let handles = self.pools.get(pool)?.handles.iter();
         let upstreams = handles.filter_map(|handle| self.upstreams.get(handle));
         let parts =
             upstreams.filter(|u| !u.stats.is_replaced() && !self.is_evacuated(&u.entry.domain));
-        let parts = parts.map(|u| Some(u.stats.limiter()?.part().per_second()));
-        let parts: Vec<f64> = parts.collect::<Option<_>>()?;
+        let parts: Vec<f64> = parts.map(|u| u.stats.part(now)).collect::<Option<_>>()?;
         (!parts.is_empty()).then(|| parts.iter().sum())
     }
 
@@ -77,12 +80,19 @@
     /// second.
     pub fn update_limiters(&mut self, now: Instant) -> Basis {
         self.forget_ended(now);
-        let demand: FastMap<Key, f64> = self
+        let mut demand: FastMap<Key, f64> = self
             .limited()
             .filter(|u| u.stats.limiter().is_some())
             .map(|u| (pool_key(&u.entry.pool), self.demand_for(now, &u.entry.pool)))
             .collect();
+        if self.averages.is_epoch_due(now, self.fleet_size) {
+            // Averaged also while none of their upstreams is cold: coldness may last for less than
+            // two epochs.
+            let pools = self.coldness.limits.keys().filter(|p| self.pools.contains_key(*p));
+            demand.extend(pools.map(|pool| (pool_key(pool), self.demand_for(now, pool))));
+        }
         self.averages.update(now, self.fleet_size, &demand);
+        self.update_cold_limiters(now);
         let age = now.saturating_duration_since(self.process_start);
         let mut basis = Basis::default();
         for handle in &self.limited {
@@ -90,8 +100,8 @@
             let Some(limiter) = upstream.stats.limiter_mut() else { continue };
             let share = self.averages.share(now, pool_key(&upstream.entry.pool), self.fleet_size);
             let part = match share {
-                Some(share) => shared_part(limiter.limit(), share),
-                None => equal_part(limiter.limit(), self.node_count, age),
+                Some(share) => limiter.bound().shared_part(limiter.limit(), share),
+                None => limiter.bound().equal_part(limiter.limit(), self.node_count, age),
             };
             limiter.set_part(now, part);
             *(if share.is_some() { &mut basis.by_demand } else { &mut basis.equal }) += 1;
@@ -142,7 +152,7 @@
             }
             (None, Some(rate)) => {
                 let mut limiter = Limiter::new(now, rate, phase);
-                limiter.set_part(now, equal_part(rate, self.node_count, age));
+                limiter.set_part(now, limiter.bound().equal_part(rate, self.node_count, age));
                 Some(limiter)
             }
         };
@@ -175,16 +185,15 @@
         rng: &mut dyn RngCore,
     ) -> (Option<Exchange>, Vec<Learned>) {
         let learned = self.learn_limits(now, &message.limits, rng);
-        let known = message.demand.iter().filter_map(|(key, _)| {
-            let pool = self.pool_keys.get(key)?;
-            Some((*key, self.demand_for(now, pool)))
-        });
-        let mut demand: FastMap<Key, f64> = known.collect();
-        for upstream in self.limited().filter(|u| u.stats.limiter().is_some()) {
-            let pool = &upstream.entry.pool;
-            demand.entry(pool_key(pool)).or_insert_with(|| self.demand_for(now, pool));
-        }
-        let demand = |key: Key| demand.get(&key).copied();
+        let mut known: FastSet<Key> = message.demand.iter().map(|(key, _)| *key).collect();
+        let limited = self.limited().filter(|u| u.stats.limiter().is_some());
+        known.extend(limited.map(|u| pool_key(&u.entry.pool)));
+        let (pools, keys, cold) = (&self.pools, &self.pool_keys, &self.coldness.limits);
+        let demand = |key: Key| {
+            let name = keys.get(&key)?;
+            let is_averaged = known.contains(&key) || cold.contains_key(name);
+            is_averaged.then(|| pools.get(name).map_or(0.0, |p| p.demand.total(now)))
+        };
         match message.kind {
             Kind::Request => {
                 let changes = self.averages.receive_request(now, message, demand);
--- a/crates/policy/src/relay/request.rs
+++ b/crates/policy/src/relay/request.rs
@@ -307,13 +307,14 @@
 
     /// Marks the pools that have no upstream. If too few are left for an answer, the others must not
     /// run the request in vain.
-    fn find_pools_without_upstream(&mut self, now: Instant, pools: &Pools) {
+    fn find_pools_without_upstream(&mut self, now: Instant, pools: &mut Pools) {
         for pool_index in 0..self.pools.len() {
             let pool = &self.plan.pools[pool_index];
             let attempt = self.pools[pool_index].next_attempt();
             if pools.has_untried(now, pool, &[], attempt) || self.pools[pool_index].exhausted {
                 continue;
             }
+            pools.record_withheld(now, pool, attempt);
             self.pools[pool_index].resting = pools.rest_end(now, pool, attempt).is_some();
             self.mark_exhausted(pool_index);
         }
--- a/crates/policy/src/relay/route.rs
+++ b/crates/policy/src/relay/route.rs
@@ -5,6 +5,8 @@
 use base::{hash::FastMap, id, unit::Generation};
 use smol_str::SmolStr;
 
+use super::cold;
+
 /// A pool with its weight.
 #[derive(Debug, Clone, PartialEq)]
 pub struct WeightedPool {
@@ -72,6 +74,10 @@
     /// For each pool, the number of connections that each of its upstreams accepts from all
     /// nodes together.
     pub connection_limits: FastMap<id::Pool, usize>,
+    /// Pools that bound the requests to their cold upstreams.
+    pub cold_limits: FastMap<id::Pool, cold::Limit>,
+    /// Values of the configuration that cannot be used and count as absent, for logs.
+    pub ignored: Vec<String>,
     /// Routes by host, those with the longest prefix first.
     hosts: FastMap<SmolStr, Vec<Arc<Route>>>,
 }
@@ -91,7 +97,19 @@
         for routes in hosts.values_mut() {
             routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
         }
-        RouteTable { generation, limits, connection_limits, hosts }
+        let cold_limits = FastMap::default();
+        let ignored = Vec::new();
+        RouteTable { generation, limits, connection_limits, cold_limits, ignored, hosts }
+    }
+
+    /// Sets the bounds on the requests to cold upstreams, by pool.
+    pub fn with_cold_limits(self, cold_limits: FastMap<id::Pool, cold::Limit>) -> RouteTable {
+        RouteTable { cold_limits, ..self }
+    }
+
+    /// Sets the values of the configuration that cannot be used.
+    pub fn with_ignored(self, ignored: Vec<String>) -> RouteTable {
+        RouteTable { ignored, ..self }
     }
 
     /// Returns the route with the longest prefix of `path` on `host`; `None` if there is none.
--- a/crates/policy/src/relay/upstream.rs
+++ b/crates/policy/src/relay/upstream.rs
@@ -6,6 +6,7 @@
 };
 
 use super::{
+    cold,
     limiter::{Attempt, Limiter},
     notice::Rest,
     registry::{Availability, Entry},
@@ -32,6 +33,15 @@
 /// Time after which a node that has no part of an upstream's limit may have got one.
 const NO_PART_DELAY: Duration = Duration::from_millis(500);
 
+/// Limit that has no permit for an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lack {
+    /// The limit that the upstream states.
+    Limit,
+    /// The limit of its pool for cold upstreams.
+    Cold,
+}
+
 /// How an attempt ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AttemptEnd {
@@ -111,7 +121,11 @@
     shedding_until: Option<Instant>,
     down_until: Option<Instant>,
     replaced: bool,
-    cold_until: Instant,
+    cold: cold::Belief,
+    /// Limits the requests while the upstream is cold, if its pool has such a limit.
+    cold_limiter: Option<Limiter>,
+    /// Whether a malformed cold time of the upstream has been reported.
+    has_malformed_cold: bool,
     /// Rest that the upstream has asked for.
     rest: Rest,
     /// Keeps the limit that it states.
@@ -134,7 +148,9 @@
             shedding_until: None,
             down_until: None,
             replaced: false,
-            cold_until: now + entry.cold,
+            cold: cold::Belief::new(now, entry.cold),
+            cold_limiter: None,
+            has_malformed_cold: false,
             rest: Rest::default(),
             limiter: None,
             limit_heard_at: None,
@@ -147,6 +163,31 @@
         if let Some(limiter) = &mut self.limiter {
             limiter.take(now);
         }
+        if let Some(limiter) = self.active_cold_limiter_mut(now) {
+            limiter.take(now);
+        }
+    }
+
+    /// Takes permits for an attempt that has none, or whose permits of `taken` have expired. Returns
+    /// the limit that lacks one.
+    pub fn try_take(&mut self, now: Instant, taken: Option<Instant>) -> Result<(), Lack> {
+        let lacks = |l: &Limiter| !taken.is_some_and(|taken| l.accepts(now, taken));
+        let needs_limit = self.limiter.as_ref().is_some_and(lacks);
+        let needs_cold = self.cold_limiter(now).is_some_and(lacks);
+        let allows = |l: &Limiter| l.allows(now, Attempt::First);
+        if needs_limit && !self.limiter.as_ref().is_some_and(allows) {
+            return Err(Lack::Limit);
+        }
+        if needs_cold && !self.cold_limiter(now).is_some_and(allows) {
+            return Err(Lack::Cold);
+        }
+        if let Some(limiter) = self.limiter.as_mut().filter(|_| needs_limit) {
+            limiter.take(now);
+        }
+        if let Some(limiter) = self.active_cold_limiter_mut(now).filter(|_| needs_cold) {
+            limiter.take(now);
+        }
+        Ok(())
     }
 
     /// Records how the attempt that was sent at `sent` ended.
@@ -226,16 +267,30 @@
     /// Returns whether `attempt` may be sent to the upstream, as far as its own replies say.
     pub fn wants(&self, now: Instant, attempt: Attempt) -> bool {
         let in_limit = self.limiter.as_ref().is_none_or(|l| l.allows(now, attempt));
-        !self.replaced && in_limit && self.rest.allows(now, self.in_flight.len())
+        !self.replaced
+            && in_limit
+            && !self.is_withheld_as_cold(now, attempt)
+            && self.rest.allows(now, self.in_flight.len())
+    }
+
+    /// Returns whether `attempt` may not be sent as the upstream is cold.
+    pub fn is_withheld_as_cold(&self, now: Instant, attempt: Attempt) -> bool {
+        self.cold_limiter(now).is_some_and(|l| !l.allows(now, attempt))
+    }
+
+    /// Returns the requests per second that this node may send; `None` if no limit applies.
+    pub fn part(&self, now: Instant) -> Option<f64> {
+        let limiters = self.limiter.iter().chain(self.cold_limiter(now));
+        limiters.map(|l| l.part().per_second()).min_by(f64::total_cmp)
     }
 
     /// Returns when the upstream wants such attempts again; `None` if it wants them now, or if it has
     /// not said.
     pub fn wants_again_at(&self, now: Instant, attempt: Attempt) -> Option<Instant> {
-        let permit = match &self.limiter {
-            Some(limiter) => limiter.allows_at(now, attempt).or(Some(now + NO_PART_DELAY)),
-            None => None,
-        };
+        let limiters = self.limiter.iter().chain(self.cold_limiter(now));
+        let permit = limiters
+            .map(|limiter| limiter.allows_at(now, attempt).unwrap_or(now + NO_PART_DELAY))
+            .max();
         self.rest.end(now).max(permit.filter(|at| *at > now))
     }
 
@@ -283,7 +338,38 @@
 
     /// Returns whether the upstream has just started and is therefore slow.
     pub fn is_cold(&self, now: Instant) -> bool {
-        now < self.cold_until
+        self.cold.is_cold(now)
+    }
+
+    /// Returns what this node believes of the upstream's coldness.
+    pub fn cold(&self) -> &cold::Belief {
+        &self.cold
+    }
+
+    /// Returns the belief for changes.
+    pub fn cold_mut(&mut self) -> &mut cold::Belief {
+        &mut self.cold
+    }
+
+    /// Returns the limiter that applies while the upstream is cold; `None` if it is not, or if its
+    /// pool has no such limit.
+    pub fn cold_limiter(&self, now: Instant) -> Option<&Limiter> {
+        self.cold_limiter.as_ref().filter(|_| self.cold.is_cold(now))
+    }
+
+    fn active_cold_limiter_mut(&mut self, now: Instant) -> Option<&mut Limiter> {
+        let is_cold = self.cold.is_cold(now);
+        self.cold_limiter.as_mut().filter(|_| is_cold)
+    }
+
+    /// Returns the limiter for coldness for changes, also when the upstream is no longer cold.
+    pub fn cold_limiter_mut(&mut self) -> &mut Option<Limiter> {
+        &mut self.cold_limiter
+    }
+
+    /// Records a malformed cold time. Returns whether it is the first one.
+    pub fn record_malformed_cold(&mut self) -> bool {
+        !std::mem::replace(&mut self.has_malformed_cold, true)
     }
 
     /// Returns whether another process has taken over the upstream's address.
--- a/crates/policy/tests/relay_limiter.rs
+++ b/crates/policy/tests/relay_limiter.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use base::unit::Rate;
-use policy::relay::limiter::{Attempt, Limiter, equal_part};
+use policy::relay::limiter::{Attempt, Bound, Limiter};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -45,7 +45,7 @@
     let mut limiters: Vec<Limiter> = (0..nodes)
         .map(|_| {
             let mut limiter = Limiter::new(start, rate, rng.random());
-            limiter.set_part(start, equal_part(rate, Some(nodes), OLD));
+            limiter.set_part(start, Bound::STATED.equal_part(rate, Some(nodes), OLD));
             limiter
         })
         .collect();
@@ -125,7 +125,7 @@
 #[test]
 fn part_is_equal_and_nothing_before_a_new_node_knows_others() {
     let check = |limit: f64, nodes: Option<usize>, age_ms: u64, expected: f64| {
-        let part = equal_part(Rate::new(limit), nodes, ms(age_ms)).per_second();
+        let part = Bound::STATED.equal_part(Rate::new(limit), nodes, ms(age_ms)).per_second();
         assert!((part - expected).abs() < 1e-9, "{limit} {nodes:?} {age_ms} ms: {part}");
     };
     check(40.0, Some(4), 0, 9.5);
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -14,7 +14,7 @@
 
 use base::hash::FastMap;
 use bytes::{Bytes, BytesMut};
-use http::{Request, Response, response};
+use http::{Request, Response, Version, header, response};
 use http_body_util::{BodyExt, Full};
 use hyper::{
     body::Incoming,
@@ -57,6 +57,9 @@
 /// Share of the upstream's idle timeout for which a connection is kept idle. The rest covers the
 /// time that a request takes to reach the upstream.
 const IDLE_TIMEOUT_SHARE: f64 = 0.7;
+/// Time from which an idle connection may have been closed by its upstream as it was idle, if the
+/// upstream has stated no time: usual times are 5 s and more.
+const MIN_IDLE_CLOSE: Duration = Duration::from_secs(4);
 /// A request that may run only once is sent on a connection that was used within this time, or on
 /// a new one: the upstream may have dropped an older one without notice.
 const MAX_IDLE_FOR_AT_MOST_ONCE: Duration = Duration::from_millis(400);
@@ -67,6 +70,8 @@
     sender: SendRequest<Full<Bytes>>,
     /// Whether this node closed it, rather than the upstream.
     closed_here: Arc<AtomicBool>,
+    /// Whether the upstream has said that it closes it.
+    closing: Arc<AtomicBool>,
 }
 
 impl Drop for Connection {
@@ -82,6 +87,8 @@
     connection: Connection,
     since: Instant,
     expires_at: Instant,
+    /// Whether the upstream has stated its idle timeout.
+    stated: bool,
 }
 
 /// Connections to one upstream.
@@ -300,6 +307,9 @@
             }
         };
         let (head, body) = response.into_parts();
+        if announces_close(&head) {
+            connection.closing.store(true, Ordering::Relaxed);
+        }
         let metadata = node.codec.read_reply(&request_id, &head);
         if metadata.kind != ReplyKind::InstanceReplaced {
             notice::record(&node, handle, &entry, &request_id, &metadata);
@@ -382,6 +392,16 @@
         self.state.lock().open
     }
 
+    /// Returns whether the end of a connection by the upstream is a failure, rather than what follows
+    /// from its idle time. To be called when it has ended.
+    fn has_failed(&self, now: Instant) -> bool {
+        let state = self.state.lock();
+        let ended = state.idle.iter().find(|idle| idle.connection.sender.is_closed());
+        ended.is_none_or(|idle| {
+            idle.stated || now.saturating_duration_since(idle.since) < MIN_IDLE_CLOSE
+        })
+    }
+
     /// Takes an idle connection that is usable for a request, which is `repeatable` or not.
     fn pop_idle(&self, now: Instant, repeatable: bool) -> Option<Connection> {
         let mut state = self.state.lock();
@@ -422,7 +442,12 @@
         let timeout = stated.unwrap_or(DEFAULT_IDLE_TIMEOUT);
         let timeout =
             if node.is_preferred() { timeout } else { timeout.min(UNPREFERRED_IDLE_TIMEOUT) };
-        let idle = IdleConnection { connection, since: now, expires_at: now + timeout };
+        let idle = IdleConnection {
+            connection,
+            since: now,
+            expires_at: now + timeout,
+            stated: idle_timeout.is_some(),
+        };
         self.state.lock().idle.push_back(idle);
         self.released.notify_one();
     }
@@ -447,21 +472,37 @@
     if node.pools.lock().is_evacuated(&entry.domain) {
         return Err(ConnectError::Evacuated(entry.domain.clone()));
     }
-    let stream = socket::connect(entry.address.0, CONNECT_TIMEOUT).await?;
+    let stream = socket::connect(entry.address.0, CONNECT_TIMEOUT).await;
+    if stream.is_err() {
+        node.pools.lock().record_connection_failure(node.now(), &entry);
+    }
+    let stream = stream?;
     let (sender, connection) =
         http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream)).await?;
     let closed_here = Arc::new(AtomicBool::new(false));
+    let closing = Arc::new(AtomicBool::new(false));
     let connections = permit.0.clone();
-    let is_closed_here = closed_here.clone();
+    let (is_closed_here, is_closing) = (closed_here.clone(), closing.clone());
     tokio::spawn(async move {
         // An error also reaches the request that uses the connection.
         let _ = connection.await;
         drop(permit);
         if !is_closed_here.load(Ordering::Relaxed) {
             connections.crash_watch.record_sign(&node, &connections, &entry);
+            let now = node.now();
+            if !is_closing.load(Ordering::Relaxed) && connections.has_failed(now) {
+                node.pools.lock().record_connection_failure(now, &entry);
+            }
         }
     });
-    Ok(Connection { sender, closed_here })
+    Ok(Connection { sender, closed_here, closing })
+}
+
+/// Returns whether the upstream closes the connection after the reply with `head`.
+fn announces_close(head: &response::Parts) -> bool {
+    let value = head.headers.get(header::CONNECTION).and_then(|v| v.to_str().ok());
+    let mut names = value.unwrap_or_default().split(',').map(str::trim);
+    head.version == Version::HTTP_10 || names.any(|n| n.eq_ignore_ascii_case("close"))
 }
 
 /// Returns what is notified if `request` gets more than [`MAX_INTERIM_RESPONSES`].
--- a/crates/relay/src/limit_exchange.rs
+++ b/crates/relay/src/limit_exchange.rs
@@ -5,6 +5,7 @@
 use policy::{
     membership::Status,
     relay::{
+        cold,
         demand::Exchange,
         pool::{Basis, Learned},
     },
@@ -21,6 +22,7 @@
     let own = id::Node(node.settings.advertised_addr);
     let basis = node.pools.lock().update_limiters(now);
     record_basis(node, basis);
+    record_coldness(node);
     // The random numbers are locked before the pools, as for requests.
     let request = node.with_rng(|rng| node.pools.lock().exchange(now, own, rng));
     let Some(request) = request else { return };
@@ -71,6 +73,28 @@
     }
 }
 
+/// Shows and logs which upstreams are cold.
+fn record_coldness(node: &Node) {
+    let (changes, withheld, cold) = {
+        let mut pools = node.pools.lock();
+        (pools.take_cold_changes(), pools.take_cold_withheld(), pools.cold_len())
+    };
+    node.metrics.cold_withheld.inc_by(withheld);
+    node.metrics.cold_upstreams.set(cold as i64);
+    for cold::Change { instance, cold } in changes {
+        if !node.log_limiter.allows(node.now(), LogKind::RoutingState) {
+            continue;
+        }
+        match cold {
+            Some((left, source)) => {
+                let (left_ms, source) = (left.as_millis() as u64, source.name());
+                tracing::info!(upstream = %instance, left_ms, source, "upstream is cold");
+            }
+            None => tracing::info!(upstream = %instance, "upstream is no longer cold"),
+        }
+    }
+}
+
 fn send(node: &Node, to: id::Node, message: &Exchange) {
     let Some(socket) = node.heartbeat_socket.load_full() else { return };
     match demand::encode(&node.settings.deployment, message) {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -41,6 +41,10 @@
     pub limited_attempts: IntCounterVec,
     /// Upstreams that state a limit, by what this node's part of it follows from.
     pub limited_upstreams: IntGaugeVec,
+    /// Upstreams that are cold, in pools that bound the requests to cold ones.
+    pub cold_upstreams: IntGauge,
+    /// Attempts that were withheld because an upstream is cold.
+    pub cold_withheld: IntCounter,
     /// Calls to peers by result.
     pub peer_calls: IntCounterVec,
     /// Attempts that ended as if their upstream had crashed, by end.
@@ -134,9 +138,14 @@
                 register(&r, IntGaugeVec::new(opts, &["basis"]))
             },
             limited_attempts: {
-                let help = "Attempts to upstreams that state a limit";
+                let help = "Attempts to upstreams with a limit on all nodes";
                 counters(&r, "limited_attempts_total", help, &["kind"])
             },
+            cold_upstreams: gauge(&r, "cold_upstreams", "Upstreams that are cold"),
+            cold_withheld: {
+                let help = "Attempts that were withheld because an upstream is cold";
+                register(&r, IntCounter::new("balsamgate_cold_withheld_total", help))
+            },
             peer_calls: counters(&r, "peer_calls_total", "Calls to peers", &["result"]),
             crash_losses: {
                 let help = "Attempts that ended as if the upstream had crashed";
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -24,6 +24,7 @@
         completed::CompletedRequests,
         crash_quarantine,
         crash_suspects::Arrival,
+        limiter::Bound,
         node_selection::Candidate,
         pool::Pools,
         registry::Registry,
@@ -165,7 +166,10 @@
                 Registry::new(settings.drain_limit)
                     .with_lapse(settings.renewal_interval * LAPSE_RENEWALS),
             ),
-            pools: Mutex::new(Pools::new(domain, bound, now)),
+            pools: Mutex::new(
+                Pools::new(domain, bound, now)
+                    .with_cold_bound(Bound::cold(settings.cold_excess, settings.cold_slack), seed),
+            ),
             round_robin: Mutex::new(WeightedRoundRobin::new()),
             crash_quarantine: Mutex::default(),
             completed: Mutex::new(CompletedRequests::new(now)),
--- a/crates/relay/src/notice.rs
+++ b/crates/relay/src/notice.rs
@@ -1,7 +1,7 @@
 //! Applies what upstreams say of themselves in their replies.
 
 use http::HeaderValue;
-use policy::relay::{notice::Limit, pool::UpstreamHandle, registry::Entry};
+use policy::relay::{cold::Statement, notice::Limit, pool::UpstreamHandle, registry::Entry};
 
 use crate::{
     interface::ReplyMetadata, log_limiter::LogKind, node::Node, platform_watch, request_log,
@@ -29,6 +29,7 @@
         platform_watch::sync_pools(node);
     }
     record_limit(node, handle, entry, request, reply);
+    record_cold(node, handle, entry, request, reply);
     let Some(time) = notice.rest else { return };
     let chance = node.chance();
     let rest_end = node.pools.lock().record_rest(now, handle, time, chance);
@@ -68,3 +69,22 @@
         tracing::info!(request, %upstream, limit, "upstream changed its limit on all nodes");
     }
 }
+
+/// Records what a `reply` says of its upstream's coldness.
+fn record_cold(
+    node: &Node,
+    handle: UpstreamHandle,
+    entry: &Entry,
+    request: &str,
+    reply: &ReplyMetadata,
+) {
+    if reply.id_mismatch || reply.notice.cold == Statement::None {
+        return;
+    }
+    let now = node.now();
+    let is_first_malformed = node.pools.lock().record_cold(now, handle, reply.notice.cold);
+    if is_first_malformed && node.log_limiter.allows(now, LogKind::RoutingState) {
+        let upstream = &entry.instance;
+        tracing::warn!(request, %upstream, "ignoring the cold time in replies of an upstream");
+    }
+}
--- a/crates/relay/src/platform_watch.rs
+++ b/crates/relay/src/platform_watch.rs
@@ -348,6 +348,10 @@
     let (generation, revision) = (table.generation, config.revision);
     tracing::info!(%generation, %before, %revision, routes = table.len(), "configuration in force");
     node.round_robin.lock().retain(&table);
+    for value in &table.ignored {
+        tracing::warn!(%generation, value, "ignoring a value of the configuration");
+    }
+    node.pools.lock().set_cold_limits(node.now(), &table.cold_limits);
     node.route_table.store(Some(Arc::new(table)));
     node.published_config.store(Some(Arc::new(config)));
     true
