--- a/crates/balsamgate/tests/fleet/mod.rs
+++ b/crates/balsamgate/tests/fleet/mod.rs
@@ -305,6 +305,7 @@
         min_share: 0.6,
         once_pool: "single".to_owned(),
         marker_prefix: format!("/mark-{version}/"),
+        cold: None,
     }
 }
 
@@ -318,6 +319,7 @@
         advertised_address: None,
         slots: 3,
         service_time: Duration::from_millis(5),
+        cold: None,
     }
 }
 
