Upstreams' reports of their load enter the choice as far as they predict replies

Cause: a node chose upstreams by its own replies and requests only, and knew nothing of the queue that other nodes' requests make, nor of the pace of upstreams that share their VM. Change: the header Server-Load is read; policy::relay::load estimates the delay from it, weighted by its age and by how much better reports have predicted replies than the earlier cost and the mean did. Without reports the cost is the earlier one. The queue model knows upstreams on shared VMs and upstreams that report truly or falsely.

--- a/crates/policy/src/relay/notice.rs
+++ b/crates/policy/src/relay/notice.rs
@@ -7,6 +7,8 @@
 
 use base::unit::Rate;
 
+use super::load::Report;
+
 /// Longest rest that an upstream gets for one wish. One that is not asked cannot say that it has
 /// recovered, and a longer wish is more likely an error.
 pub const MAX_REST: Duration = Duration::from_secs(300);
@@ -36,6 +38,8 @@
     pub rest: Option<Duration>,
     /// Limit on the requests from all nodes together.
     pub limit: Limit,
+    /// Load of the upstream; `None` if the reply states none, or none that can be read.
+    pub load: Option<Report>,
 }
 
 /// Rest of an upstream at one node.
--- a/crates/policy/src/relay/pool.rs
+++ b/crates/policy/src/relay/pool.rs
@@ -21,6 +21,7 @@
     admission::{PoolAdmission, Sample},
     demand::{Averages, Key, RankedMeter},
     limiter::{Attempt, Limiter, MAX_PERMIT_AGE},
+    load,
     notice::Rest,
     registry::{Availability, Entry, Registry},
     retry_budget::{RetryBound, RetryBudget},
@@ -83,6 +84,13 @@
 /// Instance and start of a process.
 type Process = (id::Instance, u64);
 
+/// Returns the expected time to a reply by this node's own observations.
+fn observed_delay(now: Instant, upstream: &Upstream) -> Duration {
+    let latency = upstream.stats.median_latency(now).unwrap_or(DEFAULT_LATENCY);
+    let queue = upstream.stats.in_flight() as f64 / f64::from(upstream.entry.slots.max(1));
+    latency.mul_f64(1.0 + queue)
+}
+
 fn process(entry: &Entry) -> Process {
     (entry.instance.clone(), entry.born_ms)
 }
@@ -376,9 +384,7 @@
     /// Returns the expected time to a reply plus the penalties that apply to the upstream.
     fn cost(&self, now: Instant, upstream: &Upstream) -> Duration {
         let stats = &upstream.stats;
-        let latency = stats.median_latency(now).unwrap_or(DEFAULT_LATENCY);
-        let queue = stats.in_flight() as f64 / f64::from(upstream.entry.slots.max(1));
-        let mut cost = latency.mul_f64(1.0 + queue);
+        let mut cost = stats.load().delay(now, observed_delay(now, upstream));
         if stats.is_cold(now) {
             cost = cost.mul_f64(COLD_FACTOR);
         }
@@ -437,10 +443,23 @@
     /// Records that an attempt was sent.
     pub fn record_sent(&mut self, now: Instant, handle: UpstreamHandle) {
         if let Some(upstream) = self.upstreams.get_mut(&handle) {
+            let observed = observed_delay(now, upstream);
+            upstream.stats.load_mut().record_sent(now, observed);
             upstream.stats.record_sent(now);
         }
     }
 
+    /// Records the load that a reply of an upstream reports. Returns whether its reports are believed
+    /// if that has changed.
+    pub fn record_load(
+        &mut self,
+        now: Instant,
+        handle: UpstreamHandle,
+        report: load::Report,
+    ) -> Option<bool> {
+        self.upstreams.get_mut(&handle)?.stats.load_mut().record_report(now, report)
+    }
+
     /// Records how an attempt that was sent at `sent` ended.
     pub fn record_end(
         &mut self,
--- a/crates/policy/src/relay/upstream.rs
+++ b/crates/policy/src/relay/upstream.rs
@@ -7,6 +7,7 @@
 
 use super::{
     limiter::{Attempt, Limiter},
+    load,
     notice::Rest,
     registry::{Availability, Entry},
 };
@@ -118,6 +119,8 @@
     limiter: Option<Limiter>,
     /// When the newest reply came that said what its limit is, or that it has ended.
     limit_heard_at: Option<Instant>,
+    /// Load that it reports.
+    load: load::Estimate,
 }
 
 impl UpstreamStats {
@@ -138,6 +141,7 @@
             rest: Rest::default(),
             limiter: None,
             limit_heard_at: None,
+            load: load::Estimate::default(),
         }
     }
 
@@ -154,6 +158,11 @@
         if let Some(index) = self.in_flight.iter().position(|at| *at == sent) {
             self.in_flight.swap_remove(index);
         }
+        match end {
+            AttemptEnd::Reply { .. } => self.load.record_end(now, sent, true),
+            AttemptEnd::NoReply => self.load.record_end(now, sent, false),
+            _ => self.load.forget(sent),
+        }
         match end {
             AttemptEnd::Reply { success } => {
                 self.rest.record_run(sent);
@@ -191,6 +200,16 @@
         self.down_until = Some(now + backoff.min(MAX_CONNECT_BACKOFF));
     }
 
+    /// Returns the load that the upstream reports.
+    pub fn load(&self) -> &load::Estimate {
+        &self.load
+    }
+
+    /// Returns the load that the upstream reports for changes.
+    pub fn load_mut(&mut self) -> &mut load::Estimate {
+        &mut self.load
+    }
+
     /// Sets the rest that the upstream has asked for.
     pub fn set_rest(&mut self, rest: Rest) {
         self.rest = rest;
--- a/crates/policy/tests/queue_model/mod.rs
+++ b/crates/policy/tests/queue_model/mod.rs
@@ -1,14 +1,18 @@
 //! Discrete-event queue model of pools of upstreams that several nodes send requests to, in
 //! virtual time.
 
+// Each test binary uses only a part of this module.
+#![allow(dead_code)]
+
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BinaryHeap},
     time::{Duration, Instant},
 };
 
-use base::{id, unit::Revision};
+use base::{hash, id, unit::Revision};
 use policy::relay::{
+    load::Report,
     pool::{Pools, UpstreamHandle},
     registry::{Change, Entry, Event, Registry},
     request::{Cause, Completion, Plan, RequestState},
@@ -37,6 +41,17 @@
     Fails(f64),
 }
 
+/// What an upstream reports of its load in its replies.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum Told {
+    Nothing,
+    Truth,
+    /// It always claims to be idle.
+    Idle,
+    /// It reports arbitrary numbers.
+    Noise,
+}
+
 /// Load, upstreams and parameters of the decisions.
 #[derive(Debug, Clone)]
 pub(crate) struct Scenario {
@@ -59,6 +74,10 @@
     pub(crate) admission: bool,
     /// Fault of an upstream, by the index of its pool and its index in the pool.
     pub(crate) fault: fn(pool: usize, upstream: usize) -> Fault,
+    /// Whether upstreams share their VMs with other work, and slow down many times a second.
+    pub(crate) shared_vms: bool,
+    /// What an upstream reports, by the index of its pool and its index in the pool.
+    pub(crate) told: fn(pool: usize, upstream: usize) -> Told,
     pub(crate) seconds: u64,
 }
 
@@ -77,6 +96,8 @@
             max_attempts: 2,
             admission: true,
             fault: |_, _| Fault::None,
+            shared_vms: false,
+            told: |_, _| Told::Nothing,
             seconds: 20,
         }
     }
@@ -104,6 +125,8 @@
     pub(crate) late: usize,
     /// Second attempts that the budget denied.
     pub(crate) denied: usize,
+    /// Attempts to the upstream that got most of them, as a multiple of the mean.
+    pub(crate) busiest: f64,
 }
 
 impl Outcome {
@@ -111,6 +134,12 @@
     pub(crate) fn mean_value(&self) -> f64 {
         self.total_value / self.requests as f64
     }
+
+    /// Returns the share of requests that were answered by the goal.
+    pub(crate) fn share_in_time(&self) -> f64 {
+        let in_time = self.requests - self.failed - self.refused - self.late;
+        in_time as f64 / self.requests as f64
+    }
 }
 
 struct Upstream {
@@ -119,6 +148,12 @@
     /// When the first pause begins.
     first_pause: Duration,
     fault: Fault,
+    shared_vm: bool,
+    told: Told,
+    seed: u64,
+    attempts: usize,
+    /// When the requests that it has not finished arrived and began, and when they end.
+    jobs: Vec<(Duration, Duration, Duration)>,
 }
 
 /// Requests that an upstream runs concurrently.
@@ -127,6 +162,11 @@
 const PAUSE: Duration = Duration::from_millis(150);
 /// Time between the starts of two pauses of an upstream.
 const PAUSE_INTERVAL: Duration = Duration::from_millis(3_600);
+/// Time for which an upstream on a shared VM keeps its pace.
+const PACE_INTERVAL: Duration = Duration::from_millis(120);
+/// Share of the time in which other work slows it down, and how much.
+const SLOW_PACE_SHARE: f64 = 0.25;
+const SLOW_PACE: f64 = 4.0;
 
 impl Upstream {
     /// Runs a request that arrives at `at` and takes `work`, and drops it at `until`. Returns
@@ -136,7 +176,8 @@
         if (*slot).max(at) >= until {
             return (until, false);
         }
-        let mut end = (*slot).max(at) + work;
+        let begin = (*slot).max(at);
+        let mut end = if self.shared_vm { paced_end(self.seed, begin, work) } else { begin + work };
         let mut pause = self.first_pause;
         while pause < end {
             if pause + PAUSE > (*slot).max(at) {
@@ -145,8 +186,47 @@
             pause += PAUSE_INTERVAL;
         }
         *slot = end.min(until);
+        self.jobs.push((at, begin, end.min(until)));
         (end.min(until), end <= until)
     }
+
+    /// Returns the load that it reports in a reply that it sends at `at`.
+    fn report(&mut self, at: Duration) -> Option<Report> {
+        self.jobs.retain(|(_, _, end)| *end > at);
+        let present = self.jobs.iter().filter(|(arrived, _, _)| *arrived <= at);
+        let begun = present.map(|(_, begin, _)| *begin <= at);
+        let (running, waiting): (Vec<bool>, Vec<bool>) = begun.partition(|begun| *begun);
+        let pace = if self.shared_vm { pace(self.seed, at) } else { 1.0 };
+        let pace = if let Fault::Slow(x) = self.fault { pace * x } else { pace };
+        let (running, waiting) = (running.len() as u32, waiting.len() as u32);
+        let noise = hash::stable(&[&self.seed.to_be_bytes(), &at.as_nanos().to_be_bytes()]) as u32;
+        match self.told {
+            Told::Nothing => None,
+            Told::Truth => Report::new(running, waiting, SLOTS as u32, Some((pace * 100.0) as u32)),
+            Told::Idle => Report::new(0, 0, SLOTS as u32, Some(100)),
+            Told::Noise => Report::new(noise % 4, noise / 4 % 20, 3, Some(10 + noise / 80 % 500)),
+        }
+    }
+}
+
+/// Returns how many times as long work takes at `at` on a shared VM.
+fn pace(seed: u64, at: Duration) -> f64 {
+    let interval = (at.as_nanos() / PACE_INTERVAL.as_nanos()) as u64;
+    let draw = hash::stable(&[&seed.to_be_bytes(), &interval.to_be_bytes()]) as f64;
+    if draw < SLOW_PACE_SHARE * u64::MAX as f64 { SLOW_PACE } else { 1.0 }
+}
+
+/// Returns when `work` ends that begins at `at` on a shared VM.
+fn paced_end(seed: u64, mut at: Duration, mut work: Duration) -> Duration {
+    loop {
+        let pace = pace(seed, at);
+        let next = PACE_INTERVAL * ((at.as_nanos() / PACE_INTERVAL.as_nanos()) as u32 + 1);
+        let done = (next - at).div_f64(pace);
+        if done >= work {
+            return at + work.mul_f64(pace);
+        }
+        (at, work) = (next, work - done);
+    }
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -179,6 +259,7 @@
     let base = Instant::now();
     let pool_name = |p: usize| -> id::Pool { format!("pool-{p}").parse().expect("name") };
     let mut upstreams: BTreeMap<String, Upstream> = BTreeMap::new();
+    let mut names: BTreeMap<(usize, UpstreamHandle), String> = BTreeMap::new();
     let mut events = Vec::new();
     for pool in 0..scenario.pools {
         for (index, domain) in DOMAINS.iter().enumerate() {
@@ -199,6 +280,11 @@
                 free_at: vec![Duration::ZERO; SLOTS],
                 first_pause: PAUSE_INTERVAL.mul_f64(rng.random()),
                 fault: (scenario.fault)(pool, index),
+                shared_vm: scenario.shared_vms,
+                told: (scenario.told)(pool, index),
+                seed: hash::stable(&[name.as_bytes(), &seed.to_be_bytes()]),
+                attempts: 0,
+                jobs: Vec::new(),
             };
             upstreams.insert(name, upstream);
         }
@@ -263,6 +349,10 @@
                     Reply::Failure => AttemptEnd::Reply { success: false },
                     Reply::Refused => AttemptEnd::Refused,
                 };
+                let upstream = names.get(&(node, handle)).and_then(|name| upstreams.get_mut(name));
+                if let Some(report) = upstream.and_then(|u| u.report(at - ROUND_TRIP / 2)) {
+                    nodes[node].record_load(now, handle, report);
+                }
                 nodes[node].record_end(now, handle, base + sent, end);
                 if let Some((_, _, running)) = &mut requests[request] {
                     running.record_end(pool_index, end);
@@ -281,6 +371,10 @@
                 }
                 let name = attempt.choice.entry.instance.to_string();
                 let upstream = upstreams.get_mut(&name).expect("the upstream exists");
+                upstream.attempts += 1;
+                if upstream.told != Told::Nothing {
+                    names.entry((node, attempt.choice.handle)).or_insert(name);
+                }
                 let refused = matches!(upstream.fault, Fault::Refuses(x) if rng.random_bool(x));
                 let failed = matches!(upstream.fault, Fault::Fails(x) if rng.random_bool(x));
                 let slow = if let Fault::Slow(x) = upstream.fault { x } else { 1.0 };
@@ -332,6 +426,9 @@
         }
         requests[index] = None;
     }
+    let attempts: Vec<usize> = upstreams.values().map(|u| u.attempts).collect();
+    let mean = attempts.iter().sum::<usize>() as f64 / attempts.len() as f64;
+    outcome.busiest = attempts.into_iter().max().unwrap_or_default() as f64 / mean;
     outcome.second_attempt_ratio = second_attempts as f64 / first as f64;
     outcome
 }
--- a/crates/relay/src/notice.rs
+++ b/crates/relay/src/notice.rs
@@ -29,6 +29,7 @@
         platform_watch::sync_pools(node);
     }
     record_limit(node, handle, entry, request, reply);
+    record_load(node, handle, entry, reply);
     let Some(time) = notice.rest else { return };
     let chance = node.chance();
     let rest_end = node.pools.lock().record_rest(now, handle, time, chance);
@@ -68,3 +69,17 @@
         tracing::info!(request, %upstream, limit, "upstream changed its limit on all nodes");
     }
 }
+
+/// Records what a `reply` says of the load of its upstream.
+fn record_load(node: &Node, handle: UpstreamHandle, entry: &Entry, reply: &ReplyMetadata) {
+    // A late copy of an earlier reply tells an earlier load.
+    let Some(report) = reply.notice.load.filter(|_| !reply.id_mismatch) else { return };
+    let now = node.now();
+    let Some(believed) = node.pools.lock().record_load(now, handle, report) else { return };
+    let kind = if believed { "load_believed" } else { "load_doubted" };
+    node.metrics.upstream_notices.with_label_values(&[kind]).inc();
+    if node.log_limiter.allows(now, LogKind::RoutingState) {
+        let upstream = &entry.instance;
+        tracing::info!(%upstream, believed, "trust in the reports of an upstream's load changed");
+    }
+}
