Requests of a route with home regions stay in these regions

Cause: nothing read home-regions, so that requests of such a route went to upstreams of any region, and callers were sent to nodes of any region. Change: a route has home regions, and the settings section [regions] the region of each failure domain. Upstreams elsewhere count as tried for first and second attempts; without one at home the request is refused, not run. Address answers for a host whose routes have home regions name nodes in these or in the caller's region only. Routes without them are served as before. Gauge balsamgate_unknown_home_regions and a log line for home regions without a failure domain. The template of the settings does not render the section yet: the syntax for the entries of a table is not known here.

--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -95,6 +95,8 @@
     Deployment, "deployment", is_name, NAME_RULE;
     /// Name of a failure domain.
     Domain, "failure domain", is_domain_name, DOMAIN_NAME_RULE;
+    /// Name of a region: a set of failure domains.
+    Region, "region", is_domain_name, DOMAIN_NAME_RULE;
     /// Name of a service behind the query tier.
     Service, "service", is_name, NAME_RULE;
     /// Name of a search class.
--- a/crates/config/src/field.rs
+++ b/crates/config/src/field.rs
@@ -269,6 +269,22 @@
         self.take(file, key, allowed, None, parse).unwrap_or_default()
     }
 
+    /// Takes all remaining entries as pairs of names. Invalid ones are reported.
+    pub(crate) fn take_pairs<K, V>(&mut self, file: &mut File, allowed: &str) -> Vec<(K, V)>
+    where
+        K: FromStr<Err = base::id::Error>,
+        V: FromStr<Err = base::id::Error>,
+    {
+        let mut pairs = Vec::new();
+        for entry in std::mem::take(&mut self.entries) {
+            match (entry.key.parse(), entry.value.parse()) {
+                (Ok(key), Ok(value)) => pairs.push((key, value)),
+                _ => file.error(entry.line, &self.field(&entry.key), &entry.value, allowed),
+            }
+        }
+        pairs
+    }
+
     /// Reports each field that was not taken as an error. `fields` lists the accepted fields.
     pub(crate) fn finish(self, file: &mut File, fields: &str) {
         for entry in &self.entries {
--- a/crates/config/src/relay.rs
+++ b/crates/config/src/relay.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
-use base::id;
+use base::{hash::FastMap, id};
 
 use crate::{
     field::{Errors, File},
@@ -18,6 +18,8 @@
     pub domain: id::Domain,
     /// Processor capacity of the VM, in thousandths of a core.
     pub capacity_millicores: u32,
+    /// Region of each failure domain; empty if the deployment has one region.
+    pub regions: FastMap<id::Domain, id::Region>,
     /// Address that callers connect to.
     pub caller_addr: SocketAddr,
     /// Address of the readiness check.
@@ -97,6 +99,7 @@
     "[extra] window", "1 s to 5 min", "10 s", "Window over which ratio and slack apply";
     "[limits] requests", "1 to 100000", "512", "Requests served concurrently";
     "[limits] buffer", "1048576 to 4294967296 bytes", "33554432", "Limit on buffered bytes of request and reply bodies";
+    "[regions] FAILURE_DOMAIN", "name", "(none)", "Region that the failure domain is in; needed for routes with home regions";
     "[log] level", "off, error, warn, info, debug or trace", "info", "Log level";
     "[log] rate", "1 to 100000", "20", "Log lines of one kind per second; further lines are counted instead of written";
 }
@@ -156,6 +159,10 @@
         let buffer = limits.take_integer(f, "buffer", 1 << 20..=4 << 30, Some(32 << 20));
         limits.finish(f, "requests, buffer");
 
+        let mut regions = f.take_one("regions", false);
+        let region_pair = "failure domain = region, both names";
+        let regions = regions.take_pairs::<id::Domain, id::Region>(f, region_pair);
+
         let mut log = f.take_one("log", false);
         let levels = ["off", "error", "warn", "info", "debug", "trace"];
         let level = |v: &str| levels.contains(&v).then(|| v.to_owned());
@@ -165,13 +172,14 @@
         log.finish(f, "level, rate");
 
         let sections = "[node], [listen], [fleet], [platform], [addresses], [bounds], [extra], \
-                        [limits], [log]";
+                        [limits], [regions], [log]";
         file.finish(sections)?;
         let settings = || {
             Some(Settings {
                 deployment: deployment?,
                 domain: domain?,
                 capacity_millicores: (cores? * 1_000.0).round() as u32,
+                regions: regions.into_iter().collect(),
                 caller_addr: callers?,
                 readiness_addr: ready?,
                 directory_addr: directory?,
--- a/crates/config/tests/relay.rs
+++ b/crates/config/tests/relay.rs
@@ -33,6 +33,20 @@
     assert_eq!(settings.apply_limit, Duration::from_secs(5));
 }
 
+#[test]
+fn regions_of_failure_domains_are_parsed() {
+    let text = format!("{MINIMAL}[regions]\nus-east-1a = east\n2 = Zona_Norte\n");
+    let settings = Settings::parse("node.ini", &text).expect("valid settings");
+    let region = |domain: &str| {
+        let region = settings.regions.get(&domain.parse().expect("name"));
+        region.map(|r| r.as_str())
+    };
+    assert_eq!((region("us-east-1a"), region("2")), (Some("east"), Some("Zona_Norte")));
+    assert_eq!(settings.regions.len(), 2);
+    let empty = format!("{MINIMAL}[regions]\n");
+    assert!(Settings::parse("node.ini", &empty).expect("valid settings").regions.is_empty());
+}
+
 #[test]
 fn empty_seeds_give_a_fleet_of_one_node() {
     let text = format!("{MINIMAL}[fleet]\nseeds =\n");
@@ -68,6 +82,7 @@
     check(&format!("{MINIMAL}[extra]\nratoi = 0.2\n"), "[extra] ratoi");
     check(&format!("{MINIMAL}[fleet]\nseeds = one\n"), "[fleet] seeds: read \"one\"");
     check(&format!("{MINIMAL}[bounds]\ndrain = 3\n"), "[bounds] drain: read \"3\"");
+    check(&format!("{MINIMAL}[regions]\na = no region\n"), "[regions] a: read \"no region\"");
     check(&format!("{MINIMAL}[burst]\n"), "section: read \"burst\"");
 }
 
--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -15,6 +15,7 @@
 pub mod node_selection;
 pub mod notice;
 pub mod pool;
+pub mod region;
 pub mod registry;
 pub mod request;
 pub mod restored;
--- a/crates/policy/src/relay/node_selection.rs
+++ b/crates/policy/src/relay/node_selection.rs
@@ -9,6 +9,8 @@
 use base::{hash::FastMap, id};
 use smol_str::SmolStr;
 
+use super::region::Regions;
+
 /// A node that serves callers.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Candidate {
@@ -45,6 +47,26 @@
     if suffices { strong } else { all }
 }
 
+/// Returns the nodes that may get the requests of a caller in the region `caller` to routes with the
+/// home regions `homes`, one list for each route: those in its region, and those in a home region of each
+/// of the routes. All nodes if no route has home regions, or if no regions are known.
+///
+/// A node in another region would get the bodies of requests that must not leave their regions, so that
+/// none is named even if no other node serves.
+pub fn nodes_in_home_regions(
+    candidates: &[Candidate],
+    regions: &Regions,
+    homes: &[&[id::Region]],
+    caller: Option<&str>,
+) -> Vec<Candidate> {
+    let is_allowed = |c: &&Candidate| {
+        let Some(region) = regions.region(c.domain.as_str()) else { return false };
+        caller == Some(region.as_str()) || homes.iter().all(|homes| homes.contains(region))
+    };
+    let is_unrestricted = homes.is_empty() || regions.is_empty();
+    candidates.iter().filter(|c| is_unrestricted || is_allowed(c)).cloned().collect()
+}
+
 /// Returns the nodes to name to a caller in `domain`. `coverage` is the number of pools with an
 /// upstream in each failure domain.
 ///
--- a/crates/policy/src/relay/pool.rs
+++ b/crates/policy/src/relay/pool.rs
@@ -23,6 +23,7 @@
     limiter::{Attempt, Limiter, MAX_PERMIT_AGE},
     load,
     notice::Rest,
+    region::Regions,
     registry::{Availability, Entry, Registry},
     retry_budget::{RetryBound, RetryBudget},
     upstream::{AttemptEnd, Upstream, UpstreamStats},
@@ -165,6 +166,7 @@
     limited: FastSet<UpstreamHandle>,
     /// Failure domains whose upstreams get no requests.
     evacuated: FastSet<SmolStr>,
+    regions: Regions,
 }
 
 impl Pools {
@@ -187,9 +189,16 @@
             process_keys: FastMap::default(),
             limited: FastSet::default(),
             evacuated: FastSet::default(),
+            regions: Regions::default(),
         }
     }
 
+    /// Sets the regions of failure domains.
+    pub fn with_regions(mut self, regions: Regions) -> Pools {
+        self.regions = regions;
+        self
+    }
+
     /// Sets the bound on second attempts. Attempts that were already sent count against it.
     pub fn set_retry_bound(&mut self, bound: RetryBound) {
         self.bound = bound;
@@ -272,6 +281,25 @@
         &self.evacuated
     }
 
+    /// Returns the upstreams of `pool` that a request with the home regions `homes` must not be sent to:
+    /// those in `tried`, and those in other regions.
+    pub fn excluded(
+        &self,
+        pool: &id::Pool,
+        tried: &[UpstreamHandle],
+        homes: &[id::Region],
+    ) -> Vec<UpstreamHandle> {
+        let mut excluded = tried.to_vec();
+        if let Some(pool) = self.pools.get(pool).filter(|_| !homes.is_empty()) {
+            let is_home = |handle: &UpstreamHandle| {
+                let upstream = self.upstreams.get(handle);
+                upstream.is_some_and(|u| self.regions.is_home(homes, &u.entry.domain))
+            };
+            excluded.extend(pool.handles.iter().filter(|handle| !is_home(handle)));
+        }
+        excluded
+    }
+
     /// Returns whether `attempt` may be sent to `upstream`.
     fn may_get(&self, now: Instant, upstream: &Upstream, attempt: Attempt) -> bool {
         !self.is_evacuated(&upstream.entry.domain) && upstream.stats.wants(now, attempt)
@@ -322,7 +350,18 @@
     /// Returns when the first upstream of `pool` may get such attempts again; `None` if one may get
     /// them now or none has said when.
     pub fn rest_end(&self, now: Instant, pool: &id::Pool, attempt: Attempt) -> Option<Instant> {
-        let handles = self.pools.get(pool)?.handles.iter();
+        self.rest_end_without(now, pool, attempt, &[])
+    }
+
+    /// Like [`Pools::rest_end`], but for the upstreams that are not in `excluded`.
+    pub fn rest_end_without(
+        &self,
+        now: Instant,
+        pool: &id::Pool,
+        attempt: Attempt,
+        excluded: &[UpstreamHandle],
+    ) -> Option<Instant> {
+        let handles = self.pools.get(pool)?.handles.iter().filter(|h| !excluded.contains(h));
         let upstreams = handles.filter_map(|handle| self.upstreams.get(handle));
         let wanting =
             upstreams.filter(|u| !u.stats.is_replaced() && !self.is_evacuated(&u.entry.domain));
--- a/crates/policy/src/relay/request.rs
+++ b/crates/policy/src/relay/request.rs
@@ -4,7 +4,10 @@
 //! therefore sent while the goal can still be met. If the route allows it, an answer that lacks
 //! a few pools is sent by the goal instead of a complete answer after it.
 
-use std::time::{Duration, Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use base::id;
 use rand::RngCore;
@@ -168,6 +171,8 @@
     refused: bool,
     /// Whether too few pools had an upstream for an answer, so that nothing was sent.
     hopeless: bool,
+    /// Regions whose upstreams may get the request; all if empty.
+    home_regions: Arc<[id::Region]>,
 }
 
 impl RequestState {
@@ -185,9 +190,16 @@
             stopped: false,
             refused: false,
             hopeless: false,
+            home_regions: Arc::default(),
         }
     }
 
+    /// Sets the regions whose upstreams may get the request; all if empty.
+    pub fn with_home_regions(mut self, regions: Arc<[id::Region]>) -> RequestState {
+        self.home_regions = regions;
+        self
+    }
+
     /// Decides whether to admit the request, given its random number `draw` from 0 to 1. If
     /// not, the request must be refused and nothing sent: too few pools are expected to serve
     /// it.
@@ -311,10 +323,13 @@
         for pool_index in 0..self.pools.len() {
             let pool = &self.plan.pools[pool_index];
             let attempt = self.pools[pool_index].next_attempt();
-            if pools.has_untried(now, pool, &[], attempt) || self.pools[pool_index].exhausted {
+            let excluded = pools.excluded(pool, &[], &self.home_regions);
+            let has_upstream = pools.has_untried(now, pool, &excluded, attempt);
+            if has_upstream || self.pools[pool_index].exhausted {
                 continue;
             }
-            self.pools[pool_index].resting = pools.rest_end(now, pool, attempt).is_some();
+            let rest_end = pools.rest_end_without(now, pool, attempt, &excluded);
+            self.pools[pool_index].resting = rest_end.is_some();
             self.mark_exhausted(pool_index);
         }
         self.hopeless = self.pools.len() - self.exhausted < self.plan.min_replies;
@@ -362,7 +377,8 @@
             return None;
         }
         let attempt = state.next_attempt();
-        if !is_first && !pools.has_untried(now, pool, &state.tried, attempt) {
+        let excluded = pools.excluded(pool, &state.tried, &self.home_regions);
+        if !is_first && !pools.has_untried(now, pool, &excluded, attempt) {
             if idle {
                 self.mark_exhausted(pool_index);
             } else {
@@ -374,7 +390,7 @@
             return None;
         }
         let connection_limit = self.plan.connection_limits[pool_index];
-        let Some(choice) = pools.choose(now, pool, &state.tried, attempt, connection_limit, rng)
+        let Some(choice) = pools.choose(now, pool, &excluded, attempt, connection_limit, rng)
         else {
             self.mark_exhausted(pool_index);
             return None;
@@ -485,7 +501,8 @@
         let missing = self.pools.iter().zip(&self.plan.pools).filter(|(p, _)| !p.replied);
         let rest_end = |(state, pool): (&PoolState, &id::Pool)| {
             let attempt = if state.yields { Attempt::Yielding } else { Attempt::First };
-            pools.rest_end(now, pool, attempt)
+            let excluded = pools.excluded(pool, &[], &self.home_regions);
+            pools.rest_end_without(now, pool, attempt, &excluded)
         };
         missing.filter_map(rest_end).max()
     }
--- a/crates/policy/src/relay/route.rs
+++ b/crates/policy/src/relay/route.rs
@@ -2,7 +2,11 @@
 
 use std::{sync::Arc, time::Duration};
 
-use base::{hash::FastMap, id, unit::Generation};
+use base::{
+    hash::{FastMap, FastSet},
+    id,
+    unit::Generation,
+};
 use smol_str::SmolStr;
 
 /// A pool with its weight.
@@ -49,6 +53,8 @@
     pub goal: Duration,
     /// Order of service; 0 is served first.
     pub rank: u32,
+    /// Regions that its requests stay in; empty if they may reach all upstreams.
+    pub home_regions: Arc<[id::Region]>,
 }
 
 /// Limits on a caller's connection and requests.
@@ -99,6 +105,17 @@
         self.hosts.get(host)?.iter().find(|r| path.starts_with(r.prefix.as_str()))
     }
 
+    /// Returns the home regions of each route on `host` that has some.
+    pub fn home_regions(&self, host: &str) -> Vec<&[id::Region]> {
+        let routes = self.hosts.get(host).into_iter().flatten();
+        routes.map(|r| &*r.home_regions).filter(|homes| !homes.is_empty()).collect()
+    }
+
+    /// Returns the home regions of all routes, without duplicates.
+    pub fn all_home_regions(&self) -> FastSet<&id::Region> {
+        self.hosts.values().flatten().flat_map(|r| r.home_regions.iter()).collect()
+    }
+
     /// Returns the number of routes.
     pub fn len(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
--- a/crates/policy/tests/relay_route.rs
+++ b/crates/policy/tests/relay_route.rs
@@ -27,6 +27,7 @@
         timeout: Duration::from_secs(1),
         goal: Duration::from_millis(100),
         rank: 0,
+        home_regions: [].into(),
     };
     ("a.example".into(), route)
 }
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -207,7 +207,7 @@
     };
     let limit = |p: &id::Pool| table.connection_limits.get(p).copied().unwrap_or(usize::MAX);
     let connection_limits = pools.iter().map(limit).collect();
-    Some(RequestState::new(Plan {
+    let state = RequestState::new(Plan {
         pools,
         connection_limits,
         min_replies,
@@ -217,7 +217,8 @@
         goal: route.remaining_goal(timeout),
         arrived,
         deadline: arrived + timeout,
-    }))
+    });
+    Some(state.with_home_regions(route.home_regions.clone()))
 }
 
 /// An admitted request while it is served.
--- a/crates/relay/src/membership.rs
+++ b/crates/relay/src/membership.rs
@@ -7,6 +7,7 @@
 };
 
 use base::{
+    hash::FastMap,
     id,
     unit::{Era, Generation, Position},
 };
@@ -20,6 +21,7 @@
     },
     routing,
 };
+use smol_str::SmolStr;
 use tokio::net::UdpSocket;
 use tokio_util::sync::CancellationToken;
 use wire::{demand, heartbeat};
@@ -298,12 +300,42 @@
     }
 }
 
-/// Returns the addresses of nodes for a caller in the failure domain `domain`, starting at a
-/// random one; empty if no node is known to serve.
-pub fn caller_addresses(node: &Node, domain: &str) -> Vec<SocketAddr> {
+/// A lookup of nodes by a caller.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Lookup<'a> {
+    /// Host that it will send requests to, without a port; empty if it does not say.
+    pub host: &'a str,
+    /// Its failure domain; empty if it does not say.
+    pub domain: &'a str,
+    /// Its region; that of its failure domain if it does not say.
+    pub region: Option<&'a str>,
+}
+
+/// Returns the addresses of nodes for a caller, starting at a random one; empty if no node is known to
+/// serve that its requests may be sent to.
+pub fn caller_addresses(node: &Node, lookup: Lookup<'_>) -> Vec<SocketAddr> {
+    let Lookup { host, domain, region } = lookup;
     let directory = node.directory.load();
+    let table = node.route_table.load();
+    let homes = table.as_ref().map(|t| t.home_regions(host)).unwrap_or_default();
+    if !homes.is_empty() {
+        let regions = &node.regions;
+        let caller = region.or_else(|| regions.region(domain).map(id::Region::as_str));
+        let candidates = &directory.candidates;
+        let allowed = node_selection::nodes_in_home_regions(candidates, regions, &homes, caller);
+        return shuffled_addresses(node, domain, &allowed, &directory.coverage);
+    }
+    shuffled_addresses(node, domain, &directory.candidates, &directory.coverage)
+}
+
+fn shuffled_addresses(
+    node: &Node,
+    domain: &str,
+    candidates: &[Candidate],
+    coverage: &FastMap<SmolStr, usize>,
+) -> Vec<SocketAddr> {
     let mut addresses: Vec<SocketAddr> =
-        node_selection::nodes_for_domain(domain, &directory.candidates, &directory.coverage)
+        node_selection::nodes_for_domain(domain, candidates, coverage)
             .into_iter()
             .map(|c| c.address)
             .collect();
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -75,6 +75,8 @@
     pub upstreams: IntGauge,
     /// Failure domains whose upstreams get no requests, by order of the operator.
     pub evacuated_domains: IntGauge,
+    /// Home regions of routes in which no failure domain is known.
+    pub unknown_home_regions: IntGauge,
     /// Nodes believed alive, including this one.
     pub nodes: IntGauge,
     /// Log lines that the writer dropped because it fell behind.
@@ -172,6 +174,11 @@
             platform_data_age_ms: gauge(&r, "word_age_ms", "Age of the platform's last word"),
             upstreams: gauge(&r, "upstreams", "Upstreams that may be used"),
             evacuated_domains: gauge(&r, "evacuated_domains", "Failure domains that are evacuated"),
+            unknown_home_regions: gauge(
+                &r,
+                "unknown_home_regions",
+                "Home regions of routes in which no failure domain is known",
+            ),
             nodes: gauge(&r, "nodes", "Nodes known to live, this one included"),
             log_dropped: gauge(&r, "log_dropped", "Log lines dropped by the writer"),
             registry: r,
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -26,6 +26,7 @@
         crash_suspects::Arrival,
         node_selection::Candidate,
         pool::Pools,
+        region::Regions,
         registry::Registry,
         retry_budget::RetryBound,
         route::{RouteTable, WeightedRoundRobin},
@@ -79,6 +80,8 @@
     pub(crate) published_config: ArcSwapOption<PublishedConfig>,
     pub(crate) registry: Mutex<Registry>,
     pub(crate) pools: Mutex<Pools>,
+    /// Regions of failure domains.
+    pub(crate) regions: Regions,
     pub(crate) round_robin: Mutex<WeightedRoundRobin>,
     pub(crate) crash_quarantine: Mutex<crash_quarantine::CrashQuarantine>,
     /// Requests that upstreams have lately run without a crash.
@@ -139,6 +142,8 @@
         let now = clock.now();
         let bound = retry_bound(&settings);
         let domain = SmolStr::new(settings.domain.as_str());
+        let region_of = |(d, r): (&id::Domain, &id::Region)| (SmolStr::new(d.as_str()), r.clone());
+        let regions = Regions::new(settings.regions.iter().map(region_of));
         let own = Record {
             node: id::Node(settings.advertised_addr),
             incarnation,
@@ -165,7 +170,8 @@
                 Registry::new(settings.drain_limit)
                     .with_lapse(settings.renewal_interval * LAPSE_RENEWALS),
             ),
-            pools: Mutex::new(Pools::new(domain, bound, now)),
+            pools: Mutex::new(Pools::new(domain, bound, now).with_regions(regions.clone())),
+            regions,
             round_robin: Mutex::new(WeightedRoundRobin::new()),
             crash_quarantine: Mutex::default(),
             completed: Mutex::new(CompletedRequests::new(now)),
--- a/crates/relay/src/platform_watch.rs
+++ b/crates/relay/src/platform_watch.rs
@@ -18,6 +18,7 @@
 use policy::relay::{
     registry::{Change, EraRelation, Event, MergeError},
     restored::Exception,
+    route::RouteTable,
     watch::{self, WatchState},
 };
 use smol_str::SmolStr;
@@ -347,12 +348,25 @@
     let before = node.generation();
     let (generation, revision) = (table.generation, config.revision);
     tracing::info!(%generation, %before, %revision, routes = table.len(), "configuration in force");
+    record_home_regions(node, &table);
     node.round_robin.lock().retain(&table);
     node.route_table.store(Some(Arc::new(table)));
     node.published_config.store(Some(Arc::new(config)));
     true
 }
 
+/// Shows and logs the home regions of routes in which no failure domain is known.
+fn record_home_regions(node: &Node, table: &RouteTable) {
+    let homes = table.all_home_regions();
+    let unknown: Vec<&id::Region> = homes.into_iter().filter(|r| !node.regions.has(r)).collect();
+    node.metrics.unknown_home_regions.set(unknown.len() as i64);
+    for region in unknown {
+        if node.log_limiter.allows(node.now(), LogKind::RoutingState) {
+            tracing::warn!(%region, "the settings name no failure domain in this home region of a route");
+        }
+    }
+}
+
 /// Returns whether a peer announces a generation, changes or exceptions that this node lacks.
 pub(crate) fn is_behind(node: &Node, announced: &PlatformState) -> bool {
     if announced.generation > node.generation() {
