--- a/crates/policy/src/relay/notice.rs
+++ b/crates/policy/src/relay/notice.rs
@@ -7,7 +7,7 @@
 
 use base::unit::Rate;
 
-use super::cold;
+use super::{cold, load::Report};
 
 /// Longest rest that an upstream gets for one wish. One that is not asked cannot say that it has
 /// recovered, and a longer wish is more likely an error.
@@ -40,6 +40,8 @@
     pub limit: Limit,
     /// Time for which it is cold.
     pub cold: cold::Statement,
+    /// Load of the upstream; `None` if the reply states none, or none that can be read.
+    pub load: Option<Report>,
 }
 
 /// Rest of an upstream at one node.
--- a/crates/policy/src/relay/pool.rs
+++ b/crates/policy/src/relay/pool.rs
@@ -24,7 +24,9 @@
     cold,
     demand::{Averages, Key, RankedMeter},
     limiter::{Attempt, Bound, Limiter},
+    load,
     notice::Rest,
+    region::Regions,
     registry::{Availability, Entry, EraRelation, Registry},
     retry_budget::{RetryBound, RetryBudget},
     upstream::{AttemptEnd, Lack, Upstream, UpstreamStats},
@@ -90,6 +92,13 @@
 /// Instance and start of a process.
 type Process = (id::Instance, u64);
 
+/// Returns the expected time to a reply by this node's own observations.
+fn observed_delay(now: Instant, upstream: &Upstream) -> Duration {
+    let latency = upstream.stats.median_latency(now).unwrap_or(DEFAULT_LATENCY);
+    let queue = upstream.stats.in_flight() as f64 / f64::from(upstream.entry.slots.max(1));
+    latency.mul_f64(1.0 + queue)
+}
+
 fn process(entry: &Entry) -> Process {
     (entry.instance.clone(), entry.born_ms)
 }
@@ -170,6 +179,7 @@
     /// Failure domains whose upstreams get no requests.
     evacuated: FastSet<SmolStr>,
     coldness: Coldness,
+    regions: Regions,
 }
 
 /// What the pools know of cold upstreams.
@@ -217,6 +227,7 @@
                 changes: Vec::new(),
                 withheld: 0,
             },
+            regions: Regions::default(),
         }
     }
 
@@ -226,6 +237,12 @@
         Pools { coldness: Coldness { bound, seed, ..self.coldness }, ..self }
     }
 
+    /// Sets the regions of failure domains.
+    pub fn with_regions(mut self, regions: Regions) -> Pools {
+        self.regions = regions;
+        self
+    }
+
     /// Sets the bound on second attempts. Attempts that were already sent count against it.
     pub fn set_retry_bound(&mut self, bound: RetryBound) {
         self.bound = bound;
@@ -329,6 +346,25 @@
         &self.evacuated
     }
 
+    /// Returns the upstreams of `pool` that a request with the home regions `homes` must not be sent to:
+    /// those in `tried`, and those in other regions.
+    pub fn excluded(
+        &self,
+        pool: &id::Pool,
+        tried: &[UpstreamHandle],
+        homes: &[id::Region],
+    ) -> Vec<UpstreamHandle> {
+        let mut excluded = tried.to_vec();
+        if let Some(pool) = self.pools.get(pool).filter(|_| !homes.is_empty()) {
+            let is_home = |handle: &UpstreamHandle| {
+                let upstream = self.upstreams.get(handle);
+                upstream.is_some_and(|u| self.regions.is_home(homes, &u.entry.domain))
+            };
+            excluded.extend(pool.handles.iter().filter(|handle| !is_home(handle)));
+        }
+        excluded
+    }
+
     /// Returns whether `attempt` may be sent to `upstream`.
     fn may_get(&self, now: Instant, upstream: &Upstream, attempt: Attempt) -> bool {
         !self.is_evacuated(&upstream.entry.domain) && upstream.stats.wants(now, attempt)
@@ -376,7 +412,18 @@
     /// Returns when the first upstream of `pool` may get such attempts again; `None` if one may get
     /// them now or none has said when.
     pub fn rest_end(&self, now: Instant, pool: &id::Pool, attempt: Attempt) -> Option<Instant> {
-        let handles = self.pools.get(pool)?.handles.iter();
+        self.rest_end_without(now, pool, attempt, &[])
+    }
+
+    /// Like [`Pools::rest_end`], but for the upstreams that are not in `excluded`.
+    pub fn rest_end_without(
+        &self,
+        now: Instant,
+        pool: &id::Pool,
+        attempt: Attempt,
+        excluded: &[UpstreamHandle],
+    ) -> Option<Instant> {
+        let handles = self.pools.get(pool)?.handles.iter().filter(|h| !excluded.contains(h));
         let upstreams = handles.filter_map(|handle| self.upstreams.get(handle));
         let wanting =
             upstreams.filter(|u| !u.stats.is_replaced() && !self.is_evacuated(&u.entry.domain));
@@ -438,9 +485,7 @@
     /// Returns the expected time to a reply plus the penalties that apply to the upstream.
     fn cost(&self, now: Instant, upstream: &Upstream) -> Duration {
         let stats = &upstream.stats;
-        let latency = stats.median_latency(now).unwrap_or(DEFAULT_LATENCY);
-        let queue = stats.in_flight() as f64 / f64::from(upstream.entry.slots.max(1));
-        let mut cost = latency.mul_f64(1.0 + queue);
+        let mut cost = stats.load().delay(now, observed_delay(now, upstream));
         if stats.is_cold(now) {
             cost = cost.mul_f64(COLD_FACTOR);
         }
@@ -502,10 +547,23 @@
     /// Records that an attempt was sent.
     pub fn record_sent(&mut self, now: Instant, handle: UpstreamHandle) {
         if let Some(upstream) = self.upstreams.get_mut(&handle) {
+            let observed = observed_delay(now, upstream);
+            upstream.stats.load_mut().record_sent(now, observed);
             upstream.stats.record_sent(now);
         }
     }
 
+    /// Records the load that a reply of an upstream reports. Returns whether its reports are believed
+    /// if that has changed.
+    pub fn record_load(
+        &mut self,
+        now: Instant,
+        handle: UpstreamHandle,
+        report: load::Report,
+    ) -> Option<bool> {
+        self.upstreams.get_mut(&handle)?.stats.load_mut().record_report(now, report)
+    }
+
     /// Records how an attempt that was sent at `sent` ended.
     pub fn record_end(
         &mut self,
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -27,6 +27,7 @@
         limiter::Bound,
         node_selection::Candidate,
         pool::Pools,
+        region::Regions,
         registry::Registry,
         retry_budget::RetryBound,
         route::{RouteTable, WeightedRoundRobin},
@@ -80,6 +81,8 @@
     pub(crate) published_config: ArcSwapOption<PublishedConfig>,
     pub(crate) registry: Mutex<Registry>,
     pub(crate) pools: Mutex<Pools>,
+    /// Regions of failure domains.
+    pub(crate) regions: Regions,
     pub(crate) round_robin: Mutex<WeightedRoundRobin>,
     pub(crate) crash_quarantine: Mutex<crash_quarantine::CrashQuarantine>,
     /// Requests that upstreams have lately run without a crash.
@@ -140,6 +143,8 @@
         let now = clock.now();
         let bound = retry_bound(&settings);
         let domain = SmolStr::new(settings.domain.as_str());
+        let region_of = |(d, r): (&id::Domain, &id::Region)| (SmolStr::new(d.as_str()), r.clone());
+        let regions = Regions::new(settings.regions.iter().map(region_of));
         let own = Record {
             node: id::Node(settings.advertised_addr),
             incarnation,
@@ -168,8 +173,10 @@
             ),
             pools: Mutex::new(
                 Pools::new(domain, bound, now)
-                    .with_cold_bound(Bound::cold(settings.cold_excess, settings.cold_slack), seed),
+                    .with_cold_bound(Bound::cold(settings.cold_excess, settings.cold_slack), seed)
+                    .with_regions(regions.clone()),
             ),
+            regions,
             round_robin: Mutex::new(WeightedRoundRobin::new()),
             crash_quarantine: Mutex::default(),
             completed: Mutex::new(CompletedRequests::new(now)),
