--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -397,8 +397,9 @@
     fn has_failed(&self, now: Instant) -> bool {
         let state = self.state.lock();
         let ended = state.idle.iter().find(|idle| idle.connection.sender.is_closed());
-        ended.is_none_or(|idle| {
-            idle.stated || now.saturating_duration_since(idle.since) < MIN_IDLE_CLOSE
+        ended.is_none_or(|idle| match idle.stated {
+            true => now < idle.expires_at,
+            false => now.saturating_duration_since(idle.since) < MIN_IDLE_CLOSE,
         })
     }
 
