Nodes that are cut off from all upstreams relay through peers

Cause: a node whose links to all upstreams are cut stays in the address lists and fails its callers until the links work again. Change: policy::relay::isolation suspects isolation from failed attempts and connections, and confirms it by the answers of peers to relayed requests; relay::isolation relays callers' requests whole, probes upstreams and returns. An isolated node is not ready. A refused connection is no proof of a crash while a node may be cut off. New setting [bounds] contact, without which nothing changes; gauge balsamgate_isolated, counter balsamgate_relayed_requests_total; the codec marks a relayed request and removes the mark from attempts. Test fixture: links between nodes and upstreams, cut for chosen nodes.

--- a/crates/balsamgate/src/relay.rs
+++ b/crates/balsamgate/src/relay.rs
@@ -15,7 +15,7 @@
 use platform::{DirectoryHandler, HeaderCodec, ReadinessHandler, StoreClient};
 use relay::{
     http_server::{self, Handler, RelayHandler},
-    membership,
+    isolation, membership,
     node::Node,
     peer, platform_watch, socket, supervisor,
 };
@@ -166,6 +166,9 @@
     let (n, c) = state();
     let run = move || platform_watch::run(n.clone(), c.clone());
     tokio::spawn(supervisor::run("platform watch", cancel.clone(), run));
+    let (n, c) = state();
+    let run = move || isolation::run(n.clone(), c.clone());
+    tokio::spawn(supervisor::run("isolation", cancel.clone(), run));
 }
 
 /// Reloads the settings from `path`. An invalid file is logged and changes nothing.
--- a/crates/balsamgate/tests/fleet/mod.rs
+++ b/crates/balsamgate/tests/fleet/mod.rs
@@ -5,6 +5,7 @@
 #![allow(dead_code)]
 
 mod link;
+pub(crate) mod upstream_link;
 
 use std::{
     fs::File,
@@ -192,7 +193,7 @@
 
     /// Like [`Fleet::start`], with links between the nodes that [`Fleet::set_cut`] cuts.
     pub(crate) fn start_linked(count: u8, store: SocketAddr) -> Fleet {
-        Fleet::start_nodes(Path::new(PROGRAM), count, store, "rate = 20", false, true)
+        Fleet::start_nodes(Path::new(PROGRAM), count, store, "rate = 20", "", (false, true))
     }
 
     /// Like [`Fleet::start_with`], with nodes of `program` and the lines `log` in the `[log]`
@@ -204,17 +205,18 @@
         log: &str,
         unread_stdout: bool,
     ) -> Fleet {
-        Fleet::start_nodes(&program, count, store, log, unread_stdout, false)
+        Fleet::start_nodes(&program, count, store, log, "", (unread_stdout, false))
     }
 
-    /// Starts nodes. If they are `linked`, the addresses that they advertise are those of links.
+    /// Starts nodes with the lines `bounds` in the `[bounds]` section. If they are `linked`, the
+    /// addresses that they advertise are those of links.
     fn start_nodes(
         program: &Path,
         count: u8,
         store: SocketAddr,
         log: &str,
-        unread_stdout: bool,
-        linked: bool,
+        bounds: &str,
+        (unread_stdout, linked): (bool, bool),
     ) -> Fleet {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
@@ -242,7 +244,7 @@
                  [listen]\ncallers = {ip}:7101\nready = {ip}:7102\ndirectory = {ip}:7103\n\
                  peers = {ip}:{peer_port}\nmetrics = {ip}:7105\n\
                  [fleet]\nseeds = {}\n{advertise}[platform]\naddress = {store}\n\
-                 [bounds]\napply = 3 s\ndrain = {} ms\ngrace = {} ms\n\
+                 [bounds]\n{bounds}apply = 3 s\ndrain = {} ms\ngrace = {} ms\n\
                  [extra]\nratio = 0.2\nslack = 100\n[limits]\nbuffer = 1048576\n\
                  [log]\n{log}\n",
                 seeds.join(","),
@@ -259,6 +261,13 @@
         Fleet { nodes: (0..count).map(node).collect(), directory, links, _subnet: subnet }
     }
 
+    /// Like [`Fleet::start`], with nodes that relay requests through each other while they are cut
+    /// off from the upstreams.
+    pub(crate) fn start_relaying(count: u8, store: SocketAddr) -> Fleet {
+        let program = Path::new(PROGRAM);
+        Fleet::start_nodes(program, count, store, "rate = 20", "contact = 5 s\n", (false, false))
+    }
+
     /// Waits until all nodes report that they are ready.
     pub(crate) async fn ready(&mut self) {
         for node in &mut self.nodes {
--- a/crates/config/src/relay.rs
+++ b/crates/config/src/relay.rs
@@ -47,6 +47,9 @@
     /// Time within which upstreams of an evacuated failure domain stop receiving requests; `None` if
     /// the operator does not evacuate failure domains.
     pub evacuation_limit: Option<Duration>,
+    /// Time within which callers of a node that is cut off from all upstreams must be served again;
+    /// `None` if nodes do not relay requests through each other.
+    pub contact_limit: Option<Duration>,
     /// Time from the stop signal until the process must have exited.
     pub stop_grace: Duration,
     /// Second attempts (retries and hedged requests) allowed per request to a pool, across all
@@ -91,6 +94,7 @@
     "[bounds] apply", "100 ms to 10 min", "5 s", "Time within which a new configuration is in force on every node";
     "[bounds] drain", "100 ms to 10 min", "3 s", "Time within which a leaving upstream stops receiving requests";
     "[bounds] evacuate", "100 ms to 10 min", "(none)", "Time within which upstreams of an evacuated failure domain stop receiving requests";
+    "[bounds] contact", "2 s to 10 min", "(none)", "Time within which callers of a node that is cut off from all upstreams are served again; turns on relaying through other nodes";
     "[bounds] grace", "1 s to 30 min", "30 s", "Time from the stop signal until the process must have exited";
     "[extra] ratio", "0 to 1", "0.05", "Second attempts allowed per request to a pool, across all nodes";
     "[extra] slack", "0 to 100000", "0", "Second attempts allowed per pool and window in addition to ratio, across all nodes";
@@ -142,8 +146,9 @@
         let drain = bounds.take_duration(f, "drain", 100..=600_000, Some(3_000));
         let evacuate_range = 100..=600_000;
         let evacuate = bounds.take_optional_duration(f, "evacuate", evacuate_range);
+        let contact = bounds.take_optional_duration(f, "contact", 2_000..=600_000);
         let grace = bounds.take_duration(f, "grace", 1_000..=1_800_000, Some(30_000));
-        bounds.finish(f, "apply, drain, evacuate, grace");
+        bounds.finish(f, "apply, drain, evacuate, contact, grace");
 
         let mut extra = f.take_one("extra", false);
         let ratio = extra.take(f, "ratio", "0 to 1", Some(0.05), |v| within(v, 0.0, 1.0));
@@ -185,6 +190,7 @@
                 apply_limit: apply?,
                 drain_limit: drain?,
                 evacuation_limit: evacuate?,
+                contact_limit: contact?,
                 stop_grace: grace?,
                 second_attempt_ratio: ratio?,
                 second_attempt_slack: slack?,
--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -9,6 +9,7 @@
 pub mod crash_quarantine;
 pub mod crash_suspects;
 pub mod demand;
+pub mod isolation;
 pub mod limiter;
 pub mod merge;
 pub mod node_selection;
--- a/crates/policy/src/relay/pool.rs
+++ b/crates/policy/src/relay/pool.rs
@@ -454,6 +454,11 @@
         }
     }
 
+    /// Returns all usable upstreams.
+    pub fn upstreams(&self) -> impl Iterator<Item = (UpstreamHandle, &Upstream)> {
+        self.upstreams.iter().map(|(handle, upstream)| (*handle, upstream))
+    }
+
     /// Returns the number of usable upstreams.
     pub fn len(&self) -> usize {
         self.upstreams.len()
--- a/crates/policy/src/relay/upstream.rs
+++ b/crates/policy/src/relay/upstream.rs
@@ -104,6 +104,7 @@
     /// Ring of the newest latencies, each with the time at which it was observed.
     latencies: [(Option<Instant>, Duration); LATENCY_SAMPLES],
     next_latency: usize,
+    last_reply: Option<Instant>,
     failures: BadResultShare,
     refusals: BadResultShare,
     last_refusal: Option<Instant>,
@@ -127,6 +128,7 @@
             in_flight: Vec::new(),
             latencies: [(None, Duration::ZERO); LATENCY_SAMPLES],
             next_latency: 0,
+            last_reply: None,
             failures: BadResultShare::default(),
             refusals: BadResultShare::default(),
             last_refusal: None,
@@ -156,6 +158,7 @@
         }
         match end {
             AttemptEnd::Reply { success } => {
+                self.last_reply = Some(now);
                 self.rest.record_run(sent);
                 self.connect_failures = 0;
                 self.down_until = None;
@@ -250,6 +253,16 @@
         ages.max().unwrap_or_default()
     }
 
+    /// Returns when the newest of the attempts in flight that were sent at `latest` or before was sent.
+    pub fn sent_before(&self, latest: Instant) -> Option<Instant> {
+        self.in_flight.iter().filter(|at| **at <= latest).max().copied()
+    }
+
+    /// Returns when the upstream last ran a request of this node.
+    pub fn last_reply(&self) -> Option<Instant> {
+        self.last_reply
+    }
+
     /// Returns the median of the newest latencies; `None` without recent ones.
     pub fn median_latency(&self, now: Instant) -> Option<Duration> {
         let recent = |(at, latency): &(Option<Instant>, Duration)| {
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -31,6 +31,7 @@
 use crate::{
     crash_watch::{CrashWatch, RunGuard},
     interface::{ReplyKind, ReplyMetadata},
+    isolation,
     memory::Reservation,
     node::Node,
     notice, socket,
@@ -184,7 +185,7 @@
 }
 
 /// Returns the messages of `error` and its sources, as hyper's outermost error says little.
-fn error_chain(error: &dyn std::error::Error) -> String {
+pub(crate) fn error_chain(error: &dyn std::error::Error) -> String {
     let causes = std::iter::successors(Some(error), |e| e.source());
     let mut texts: Vec<String> = causes.map(ToString::to_string).collect();
     texts.dedup_by(|inner, outer| outer.ends_with(inner.as_str()));
@@ -193,7 +194,7 @@
 
 /// A failure to receive the body of a reply in full.
 #[derive(Debug, thiserror::Error)]
-enum BodyError {
+pub(crate) enum BodyError {
     #[error("the reply broke off: {0}")]
     Truncated(#[from] hyper::Error),
     #[error("the reply is longer than {MAX_REPLY_BYTES} bytes")]
@@ -447,15 +448,29 @@
     if node.pools.lock().is_evacuated(&entry.domain) {
         return Err(ConnectError::Evacuated(entry.domain.clone()));
     }
-    let stream = socket::connect(entry.address.0, CONNECT_TIMEOUT).await?;
+    let connecting = isolation::Connecting::new(&node, entry.address);
+    let stream = match socket::connect(entry.address.0, CONNECT_TIMEOUT).await {
+        Ok(stream) => stream,
+        Err(e) => {
+            connecting.ended(&node, false);
+            return Err(e.into());
+        }
+    };
     let (sender, connection) =
         http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream)).await?;
     let closed_here = Arc::new(AtomicBool::new(false));
     let connections = permit.0.clone();
     let is_closed_here = closed_here.clone();
     tokio::spawn(async move {
+        tokio::pin!(connection);
         // An error also reaches the request that uses the connection.
-        let _ = connection.await;
+        let ended = tokio::time::timeout(isolation::SETTLE_TIME, &mut connection).await;
+        if ended.is_err() {
+            connecting.ended(&node, true);
+            let _ = connection.await;
+        } else if !is_closed_here.load(Ordering::Relaxed) {
+            connecting.ended(&node, false);
+        }
         drop(permit);
         if !is_closed_here.load(Ordering::Relaxed) {
             connections.crash_watch.record_sign(&node, &connections, &entry);
@@ -478,7 +493,10 @@
 
 /// Reads the body of a reply. It counts against the node's memory budget until the reservation is
 /// dropped.
-async fn read_body(node: &Node, mut body: Incoming) -> Result<(Bytes, Reservation), BodyError> {
+pub(crate) async fn read_body(
+    node: &Node,
+    mut body: Incoming,
+) -> Result<(Bytes, Reservation), BodyError> {
     let mut guard = BodyGuard { node, cause: "time" };
     let mut reservation = node.body_memory.try_reserve(0).ok_or(BodyError::OutOfMemoryBudget)?;
     let mut first: Option<Bytes> = None;
--- a/crates/relay/src/crash_watch.rs
+++ b/crates/relay/src/crash_watch.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     connection::{ConnectError, UpstreamConnections},
-    crash,
+    crash, isolation,
     node::Node,
 };
 
@@ -201,7 +201,10 @@
                 let cause = e.to_string();
                 crash::checked(&node, &entry, suspects, result, Some(&cause));
                 let latest = *node.last_reply.lock();
-                if proof.is_crash(crash_suspects::others_reply(now, last_reply, latest)) {
+                let is_crash =
+                    proof.is_crash(crash_suspects::others_reply(now, last_reply, latest));
+                // A node that is cut off loses its connections, too.
+                if is_crash && !isolation::may_be_cut_off(&node) {
                     crash::unreachable(&node, &entry, suspects, &cause);
                     watch.report(&node, &entry, proof);
                 } else {
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -29,7 +29,7 @@
 
 use crate::{
     connection::{AttemptRequest, AttemptResult, ReceivedReply},
-    crash,
+    crash, isolation,
     node::Node,
     request_log::{self, RequestLog},
     response::{self, Body},
@@ -116,6 +116,11 @@
         let delay = jittered(&node, retry_after::delay(reason));
         return response::failure(Fate::NotRun, reason, Some(delay));
     }
+    if let Some(response) =
+        isolation::serve(&node, &metadata, &head, &body, arrived + timeout).await
+    {
+        return response;
+    }
     let Some(mut state) = plan(&node, &table, &route, arrived, timeout) else {
         return refuse(Reason::Unreachable, retry_after::delay(Reason::Unreachable));
     };
@@ -177,7 +182,7 @@
 
 /// Returns the head that all attempts share: the caller's, without the headers that concern its
 /// connection only.
-fn attempt_head(head: &request::Parts) -> request::Parts {
+pub(crate) fn attempt_head(head: &request::Parts) -> request::Parts {
     let mut request = Request::new(());
     *request.method_mut() = head.method.clone();
     if let Some(target) = head.uri.path_and_query() {
@@ -333,7 +338,8 @@
         let node = self.node.clone();
         let connections = node.connections.upstream(choice.handle);
         let handle = choice.handle;
-        let mut guard = AttemptGuard { node: node.clone(), handle, sent: now, end: None };
+        let upstream = choice.entry.address;
+        let mut guard = AttemptGuard { node: node.clone(), handle, upstream, sent: now, end: None };
         let entry = choice.entry.clone();
         Box::pin(async move {
             let result = connections.send(node, entry, choice.max_connections, message).await;
@@ -421,7 +427,12 @@
 
 /// Returns the response that relays a single upstream's reply.
 fn relay_reply(reply: ReceivedReply) -> Response<Body> {
-    let (mut head, body) = reply.response.into_parts();
+    relay_response(reply.response)
+}
+
+/// Returns the response that relays `response`, which was received in full.
+pub(crate) fn relay_response(response: Response<Bytes>) -> Response<Body> {
+    let (mut head, body) = response.into_parts();
     response::strip_hop_by_hop_headers(&mut head.headers);
     if !body.is_empty() {
         // The server sets it anew from the body, which was received in full.
@@ -434,6 +445,7 @@
 struct AttemptGuard {
     node: Arc<Node>,
     handle: UpstreamHandle,
+    upstream: id::Upstream,
     sent: Instant,
     end: Option<AttemptEnd>,
 }
@@ -443,5 +455,6 @@
         let now = self.node.now();
         let end = self.end.unwrap_or(AttemptEnd::NoReply);
         self.node.pools.lock().record_end(now, self.handle, self.sent, end);
+        isolation::record_end(&self.node, self.upstream, self.sent, end);
     }
 }
--- a/crates/relay/src/interface.rs
+++ b/crates/relay/src/interface.rs
@@ -24,6 +24,8 @@
     pub request_id: HeaderValue,
     /// Time for which the caller waits for an answer; `None` if the request does not state it.
     pub timeout: Option<Duration>,
+    /// Whether a peer relays the request, which must then not be relayed again.
+    pub relayed: bool,
 }
 
 /// Protocol metadata in the head of an upstream's reply.
@@ -64,9 +66,13 @@
     fn read_request(&self, head: &request::Parts) -> Result<RequestMetadata, MalformedRequest>;
 
     /// Sets the headers of an attempt that differ from the caller's: the process that may run
-    /// it, and the time left.
+    /// it, and the time left. Removes what [`Codec::write_relayed`] adds.
     fn write_attempt(&self, headers: &mut HeaderMap, instance: &id::Instance, left: Duration);
 
+    /// Sets the headers of a caller's request that a peer is to serve: the time `left`, and the mark
+    /// that the request is relayed.
+    fn write_relayed(&self, headers: &mut HeaderMap, left: Duration);
+
     /// Parses the head of a reply to the request with the id `request_id`.
     fn read_reply(&self, request_id: &HeaderValue, head: &response::Parts) -> ReplyMetadata;
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod forward;
 pub mod http_server;
 pub mod interface;
+pub mod isolation;
 mod limit_exchange;
 pub mod log_limiter;
 pub mod membership;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -41,6 +41,10 @@
     pub limited_attempts: IntCounterVec,
     /// Upstreams that state a limit, by what this node's part of it follows from.
     pub limited_upstreams: IntGaugeVec,
+    /// Whether this node is cut off from the upstreams.
+    pub isolated: IntGauge,
+    /// Callers' requests that were relayed through peers, by result.
+    pub relayed_requests: IntCounterVec,
     /// Calls to peers by result.
     pub peer_calls: IntCounterVec,
     /// Attempts that ended as if their upstream had crashed, by end.
@@ -137,6 +141,11 @@
                 let help = "Attempts to upstreams that state a limit";
                 counters(&r, "limited_attempts_total", help, &["kind"])
             },
+            isolated: gauge(&r, "isolated", "Whether this node is cut off from the upstreams"),
+            relayed_requests: {
+                let help = "Requests of callers relayed through other nodes";
+                counters(&r, "relayed_requests_total", help, &["result"])
+            },
             peer_calls: counters(&r, "peer_calls_total", "Calls to peers", &["result"]),
             crash_losses: {
                 let help = "Attempts that ended as if the upstream had crashed";
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -24,6 +24,7 @@
         completed::CompletedRequests,
         crash_quarantine,
         crash_suspects::Arrival,
+        isolation::{Belief, Isolation},
         node_selection::Candidate,
         pool::Pools,
         registry::Registry,
@@ -40,6 +41,7 @@
     connection, crash,
     crash_watch::SuspectedUpstreams,
     interface::{Codec, PlatformSource, PublishedConfig},
+    isolation,
     log_limiter::LogLimiter,
     memory::MemoryBudget,
     metrics::Metrics,
@@ -91,6 +93,12 @@
     pub(crate) reports_left_out: AtomicUsize,
     /// When to fetch crash reports from a peer.
     pub(crate) report_fetches: Mutex<crash::FetchSchedule>,
+    /// Whether this node is cut off from the upstreams.
+    pub(crate) isolation: Mutex<Isolation>,
+    /// Copy of what `isolation` believes, so that requests need no lock.
+    pub(crate) belief: isolation::SharedBelief,
+    /// Idle connections to peers that serve requests for this node.
+    pub(crate) relay_connections: isolation::RelayConnections,
     pub(crate) membership: Mutex<Membership>,
     /// Records of the other nodes, sorted by node: a snapshot of `membership`.
     pub(crate) peers: ArcSwap<Vec<Record>>,
@@ -174,6 +182,9 @@
             last_reply: Mutex::default(),
             reports_left_out: AtomicUsize::new(0),
             report_fetches: Mutex::new(crash::FetchSchedule::new(now)),
+            isolation: Mutex::new(Isolation::new(now)),
+            belief: isolation::SharedBelief::default(),
+            relay_connections: isolation::RelayConnections::default(),
             membership: Mutex::new(membership),
             peers: ArcSwap::default(),
             peers_version: AtomicUsize::new(usize::MAX),
@@ -284,11 +295,12 @@
     }
 
     /// Returns whether address lists may name the node: it has a configuration and the
-    /// registered upstreams, and is not stopping.
+    /// registered upstreams, is not cut off from them, and is not stopping.
     pub fn is_ready(&self) -> bool {
         let loaded =
             self.registry_loaded.load(Ordering::Relaxed) && self.route_table.load().is_some();
-        loaded && !self.draining.load(Ordering::Relaxed)
+        let isolated = self.belief.get() == Belief::Isolated;
+        loaded && !isolated && !self.draining.load(Ordering::Relaxed)
     }
 
     /// Begins a planned stop: address lists no longer name the node.
--- a/crates/relay/src/socket.rs
+++ b/crates/relay/src/socket.rs
@@ -11,7 +11,8 @@
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 const KEEPALIVE_PROBES: u32 = 2;
-/// `TCP_USER_TIMEOUT`: time for which sent bytes may remain unacknowledged.
+/// `TCP_USER_TIMEOUT`: time for which sent bytes may remain unacknowledged. On Linux it also decides,
+/// instead of the number of probes, when keep-alive gives up on a silent connection.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Connections that may wait to be accepted.
 const ACCEPT_BACKLOG: u32 = 1_024;
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -36,6 +36,8 @@
 
     fn write_attempt(&self, _: &mut HeaderMap, _: &id::Instance, _: Duration) {}
 
+    fn write_relayed(&self, _: &mut HeaderMap, _: Duration) {}
+
     fn read_reply(&self, _: &HeaderValue, _: &response::Parts) -> ReplyMetadata {
         unreachable!("no request is relayed")
     }
