--- a/crates/config/src/relay.rs
+++ b/crates/config/src/relay.rs
@@ -54,6 +54,9 @@
     pub cold_excess: f64,
     /// Requests that it tolerates in addition.
     pub cold_slack: f64,
+    /// Time within which callers of a node that is cut off from all upstreams must be served again;
+    /// `None` if nodes do not relay requests through each other.
+    pub contact_limit: Option<Duration>,
     /// Time from the stop signal until the process must have exited.
     pub stop_grace: Duration,
     /// Second attempts (retries and hedged requests) allowed per request to a pool, across all
@@ -100,6 +103,7 @@
     "[bounds] evacuate", "100 ms to 10 min", "(none)", "Time within which upstreams of an evacuated failure domain stop receiving requests";
     "[bounds] cold_excess", "1 to 100", "1.5", "Requests that a cold upstream tolerates in any second from all nodes, as a multiple of what it states";
     "[bounds] cold_slack", "0 to 100000", "5", "Requests that a cold upstream tolerates in any second in addition to cold_excess";
+    "[bounds] contact", "2 s to 10 min", "(none)", "Time within which callers of a node that is cut off from all upstreams are served again; turns on relaying through other nodes";
     "[bounds] grace", "1 s to 30 min", "30 s", "Time from the stop signal until the process must have exited";
     "[extra] ratio", "0 to 1", "0.05", "Second attempts allowed per request to a pool, across all nodes";
     "[extra] slack", "0 to 100000", "0", "Second attempts allowed per pool and window in addition to ratio, across all nodes";
@@ -157,8 +161,9 @@
         let allowed = "0 to 100000";
         let cold_slack =
             bounds.take(f, "cold_slack", allowed, Some(5.0), |v| within(v, 0.0, 100_000.0));
+        let contact = bounds.take_optional_duration(f, "contact", 2_000..=600_000);
         let grace = bounds.take_duration(f, "grace", 1_000..=1_800_000, Some(30_000));
-        bounds.finish(f, "apply, drain, evacuate, cold_excess, cold_slack, grace");
+        bounds.finish(f, "apply, drain, evacuate, cold_excess, cold_slack, contact, grace");
 
         let mut extra = f.take_one("extra", false);
         let ratio = extra.take(f, "ratio", "0 to 1", Some(0.05), |v| within(v, 0.0, 1.0));
@@ -207,6 +212,7 @@
                 evacuation_limit: evacuate?,
                 cold_excess: excess?,
                 cold_slack: cold_slack?,
+                contact_limit: contact?,
                 stop_grace: grace?,
                 second_attempt_ratio: ratio?,
                 second_attempt_slack: slack?,
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -45,6 +45,10 @@
     pub cold_upstreams: IntGauge,
     /// Attempts that were withheld because an upstream is cold.
     pub cold_withheld: IntCounter,
+    /// Whether this node is cut off from the upstreams.
+    pub isolated: IntGauge,
+    /// Callers' requests that were relayed through peers, by result.
+    pub relayed_requests: IntCounterVec,
     /// Calls to peers by result.
     pub peer_calls: IntCounterVec,
     /// Attempts that ended as if their upstream had crashed, by end.
@@ -148,6 +152,11 @@
                 let help = "Attempts that were withheld because an upstream is cold";
                 register(&r, IntCounter::new("balsamgate_cold_withheld_total", help))
             },
+            isolated: gauge(&r, "isolated", "Whether this node is cut off from the upstreams"),
+            relayed_requests: {
+                let help = "Requests of callers relayed through other nodes";
+                counters(&r, "relayed_requests_total", help, &["result"])
+            },
             peer_calls: counters(&r, "peer_calls_total", "Calls to peers", &["result"]),
             crash_losses: {
                 let help = "Attempts that ended as if the upstream had crashed";
