Slow readers are cut off; bodies are reserved until they are written

Cause: the reservation of a reply ended when the answer was built, and that of a request's body when it was answered, whatever its attempts still held. A caller or an upstream that does not read was bounded by the system only (TCP_USER_TIMEOUT), held up to some MiB in the connection's buffer, and with the buffer full everybody else was refused.

Change: reservations are owned by the bytes (Reservation::hold). Each connection's stream sees when a write waits; policy::relay::memory decides when a caller is due (1 s after its deadline, later by what it has read at 16 KiB/s) and who is cut off when [limits] buffer is in use (slowest first). Connections that are cut off are reset; an attempt ended so is no sign of a crash. Unread bytes in the system are bounded to 128 KiB a connection.

--- /dev/null
+++ b/crates/balsamgate/tests/slow_readers.rs
@@ -0,0 +1,214 @@
+//! Callers that read their answers slowly or not at all, and upstreams that do not read requests, at
+//! a node with `[limits] buffer` at 1 MiB.
+//!
+//! Guards against memory that grows with slow readers beyond the limit, against fast callers that
+//! are refused because of them, and against answers that are cut although they are being read.
+
+mod fleet;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use fleet::{Fleet, HOST, config, eventually, upstreams};
+use futures::future::join_all;
+use platform_standin::{
+    caller::{Answer, CONFIG_KEY, CallerRequest, Connection, RequestError},
+    store::Store,
+    unread::{SlowCaller, UnreadUpstream},
+    upstream::{Faults, Upstream},
+};
+use tokio_util::sync::CancellationToken;
+
+/// Size of a large answer: more than the buffers of its connection take up.
+const LARGE_BYTES: usize = 400_000;
+/// Size of a large request body: five fit into the buffer.
+const LARGE_BODY_BYTES: usize = 200_000;
+/// Callers that do not read: their answers are many times the buffer.
+const SLOW_CALLERS: usize = 60;
+/// Memory that the node may take up besides bodies, in KiB.
+const OTHER_KIB: u64 = 12 << 10;
+
+struct Testbed {
+    store: Store,
+    fleet: Fleet,
+    upstreams: Vec<Upstream>,
+    cancel: CancellationToken,
+}
+
+impl Drop for Testbed {
+    fn drop(&mut self) {
+        self.cancel.cancel();
+    }
+}
+
+fn request(path: &str, id: &str) -> CallerRequest {
+    CallerRequest {
+        host: HOST.to_owned(),
+        path: path.to_owned(),
+        id: id.to_owned(),
+        timeout: Duration::from_secs(2),
+        body: Bytes::new(),
+    }
+}
+
+/// A node with one search pool. Upstreams of the pool `single` reply with `padding` more bytes.
+async fn testbed(padding: usize) -> Testbed {
+    let cancel = CancellationToken::new();
+    let store = Store::start(cancel.clone()).await.expect("a store");
+    store.put(CONFIG_KEY, config(1, 1).to_json().as_bytes());
+    let upstreams = upstreams(&store, 1, 2).await;
+    for upstream in upstreams.iter().filter(|u| u.pool() == "single") {
+        upstream.set_faults(Faults { padding, ..Faults::default() });
+    }
+    let mut fleet = Fleet::start(1, store.address());
+    fleet.ready().await;
+    Testbed { store, fleet, upstreams, cancel }
+}
+
+impl Testbed {
+    async fn send(&self, request: &CallerRequest) -> Result<Answer, RequestError> {
+        Connection::connect(self.fleet.nodes[0].callers()).await?.send(request).await
+    }
+
+    async fn slow(&self, id: &str) -> SlowCaller {
+        let request = request("/once/large", id);
+        let sent = SlowCaller::send(self.fleet.nodes[0].callers(), &request).await;
+        sent.expect("the request is sent")
+    }
+
+    /// Sum of the values of a metric whose lines start with `name`.
+    async fn metric(&self, name: &str) -> u64 {
+        let mut connection =
+            Connection::connect((self.fleet.nodes[0].ip, 7105).into()).await.expect("a connection");
+        let text = connection.send(&request("/metrics", "m")).await.expect("metrics").body;
+        let text = String::from_utf8_lossy(&text).into_owned();
+        let values = text.lines().filter(|l| l.starts_with(name));
+        values.filter_map(|l| l.rsplit(' ').next()?.parse::<u64>().ok()).sum()
+    }
+
+    async fn held(&self) -> u64 {
+        self.metric("balsamgate_held_bytes").await
+    }
+
+    /// Largest memory that the node has had so far, in KiB.
+    fn peak_kib(&self) -> u64 {
+        let id = self.fleet.nodes[0].id().expect("the node runs");
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).expect("status");
+        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("peak memory");
+        line.trim().trim_end_matches(" kB").parse().expect("a number")
+    }
+
+    /// Whether the upstreams have run the request `id`.
+    fn has_run(&self, id: &str) -> bool {
+        self.upstreams.iter().any(|u| u.runs().iter().any(|r| r.request_id == id))
+    }
+}
+
+/// The answer would no longer count while the node still holds it.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_is_counted_until_its_caller_has_read_it() {
+    let testbed = testbed(LARGE_BYTES).await;
+    let mut caller = testbed.slow("held").await;
+    eventually("the answer waits for its caller", async || {
+        testbed.metric("balsamgate_requests_total{outcome=\"whole\"").await == 1
+    })
+    .await;
+    assert!(testbed.held().await as usize >= LARGE_BYTES);
+    let read = caller.read_slowly(64 << 10, Duration::ZERO).await.expect("the answer");
+    assert!(read >= LARGE_BYTES, "{read}");
+    assert_eq!(testbed.held().await, 0);
+}
+
+/// A caller that reads at a steady pace would lose its answer after its deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_that_is_read_slowly_arrives_whole() {
+    let testbed = testbed(LARGE_BYTES).await;
+    let mut caller = testbed.slow("steady").await;
+    // Takes about 5 s, the deadline and its margin 3 s.
+    let read = caller.read_slowly(4 << 10, Duration::from_millis(50)).await;
+    assert!(read.as_ref().is_ok_and(|r| *r >= LARGE_BYTES), "{read:?}");
+}
+
+/// A caller that reads some bytes now and then would hold its answer for hours.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_hardly_reads_is_cut_off() {
+    let testbed = testbed(LARGE_BYTES).await;
+    let mut caller = testbed.slow("trickle").await;
+    let reading = caller.read_slowly(64, Duration::from_millis(100));
+    let ended = tokio::time::timeout(fleet::WAIT_LIMIT, reading).await;
+    assert!(ended.is_ok(), "the connection stays open");
+    assert_eq!(testbed.held().await, 0);
+    assert_eq!(testbed.metric("balsamgate_slow_readers_total{cause=\"late\"").await, 1);
+}
+
+/// Answers that nobody reads would take up all memory, or the requests of callers that do read
+/// would be refused.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_that_do_not_read_cost_others_no_answer() {
+    let testbed = testbed(LARGE_BYTES).await;
+    let before = testbed.peak_kib();
+    let mut slow = Vec::new();
+    for n in 0..SLOW_CALLERS {
+        slow.push(testbed.slow(&format!("slow-{n}")).await);
+        let answer = testbed.send(&request("/search/x", &format!("fast-{n}"))).await;
+        assert!(answer.as_ref().is_ok_and(|a| a.status == 200), "{n}: {answer:?}");
+        let large = testbed.send(&request("/once/large", &format!("large-{n}"))).await;
+        assert!(large.as_ref().is_ok_and(|a| a.status == 200), "{n}: {large:?}");
+    }
+    let grown = testbed.peak_kib() - before;
+    assert!(grown <= OTHER_KIB, "{grown} KiB more");
+    assert!(testbed.metric("balsamgate_slow_readers_total{cause=\"full\"").await > 0);
+    eventually("nothing is held", async || testbed.held().await == 0).await;
+}
+
+/// Upstreams that do not read would fill the buffer with the bodies of their requests, and those of
+/// other pools would be refused. A request that an upstream may have read must not be reported as
+/// one that has not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn upstreams_that_do_not_read_cost_other_pools_no_request() {
+    let testbed = testbed(0).await;
+    testbed.upstreams.iter().filter(|u| u.pool() == "single").for_each(|u| u.crash(true));
+    let unread = {
+        let (store, cancel) = (&testbed.store, testbed.cancel.clone());
+        UnreadUpstream::start("single", "i-unread", store, cancel).await.expect("an upstream")
+    };
+    eventually("the node uses the upstream that does not read", async || {
+        let _ = testbed.send(&request("/mark-1/x", "probe")).await;
+        unread.connections() > 0
+    })
+    .await;
+    let body = Bytes::from(vec![1; LARGE_BODY_BYTES]);
+    let stuck: Vec<CallerRequest> = (0..5)
+        .map(|n| CallerRequest { body: body.clone(), ..request("/once/x", &format!("stuck-{n}")) })
+        .collect();
+    let stuck = join_all(stuck.iter().map(|request| testbed.send(request)));
+    let others = async {
+        eventually("the bodies fill the buffer", async || {
+            testbed.held().await as usize >= 5 * LARGE_BODY_BYTES
+        })
+        .await;
+        // The upstream's connections take no more once their buffers are full.
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let mut answers = Vec::new();
+        for n in 0..3 {
+            let request = CallerRequest { body: body.clone(), ..request("/search/x", "other") };
+            let request = CallerRequest { id: format!("other-{n}"), ..request };
+            answers.push((request.id.clone(), testbed.send(&request).await));
+        }
+        answers
+    };
+    let (stuck, others) = tokio::join!(stuck, others);
+    for (id, answer) in &others {
+        assert!(answer.as_ref().is_ok_and(|a| a.status == 200), "{id}: {answer:?}");
+        assert!(testbed.has_run(id), "{id}");
+    }
+    for answer in &stuck {
+        let status = answer.as_ref().map(|a| a.status);
+        assert!(matches!(status, Ok(502 | 504) | Err(RequestError::TimedOut)), "{answer:?}");
+    }
+    let cut = testbed.metric("balsamgate_slow_readers_total{cause=\"full\"").await;
+    assert!((1..5).contains(&cut), "{cut}: some, and no more than needed");
+    let log = testbed.fleet.nodes[0].log_text();
+    assert!(!log.contains("the upstream may have crashed"), "this node ended the attempts");
+    eventually("nothing is held", async || testbed.held().await == 0).await;
+}
--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -10,6 +10,7 @@
 pub mod crash_suspects;
 pub mod demand;
 pub mod limiter;
+pub mod memory;
 pub mod merge;
 pub mod node_selection;
 pub mod notice;
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -34,6 +34,7 @@
     memory::Reservation,
     node::Node,
     notice, socket,
+    stream::{Flow, Reader, WatchedStream},
 };
 
 /// Timeout for connecting: many times the latency to any upstream of a region.
@@ -65,6 +66,7 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    flow: Arc<Flow>,
     /// Whether this node closed it, rather than the upstream.
     closed_here: Arc<AtomicBool>,
 }
@@ -163,7 +165,8 @@
     pub metadata: ReplyMetadata,
     /// The reply as received.
     pub response: Response<Bytes>,
-    _reservation: Reservation,
+    /// Keeps the body counted against the node's memory budget.
+    pub(crate) reservation: Reservation,
 }
 
 /// Result of an attempt.
@@ -235,6 +238,8 @@
     pub handle: UpstreamHandle,
     /// When a permit was taken for it, if the upstream then stated a limit.
     pub permit: Option<Instant>,
+    /// Bytes of memory that are free once the request has been written.
+    pub held: usize,
     /// Identifies the request if the upstream crashes while it runs.
     pub suspect: Suspect,
 }
@@ -274,7 +279,9 @@
             let cause = "the upstream wants no more requests now";
             return AttemptResult::failed(AttemptEnd::Withheld, cause);
         }
-        let AttemptRequest { mut request, request_id, handle, suspect, .. } = message;
+        let AttemptRequest { mut request, request_id, handle, suspect, held, deadline, .. } =
+            message;
+        connection.flow.start(now, deadline, held, Some(request_id.clone()));
         node.codec.write_attempt(request.headers_mut(), &entry.instance, left);
         let interim = limit_interim_responses(&mut request);
         let run = RunGuard::new(node.clone(), self.clone(), entry.clone(), suspect);
@@ -295,6 +302,10 @@
                 if e.error().is_parse_too_large() {
                     node.metrics.replies_cut.with_label_values(&["head"]).inc();
                 }
+                if connection.flow.transfer().is_cut {
+                    // Dropping `run` counts the request as abandoned: this node ended the attempt.
+                    return AttemptResult::failed(end, "the upstream reads too slowly");
+                }
                 run.ended(end);
                 return AttemptResult::failed(end, error_chain(e.error()));
             }
@@ -338,7 +349,7 @@
             self.release(node, connection, metadata.idle_timeout);
         }
         let response = Response::from_parts(head, body);
-        let reply = ReceivedReply { metadata, response, _reservation: reservation };
+        let reply = ReceivedReply { metadata, response, reservation };
         AttemptResult { end, reply: Some(reply), cause: None }
     }
 
@@ -448,20 +459,22 @@
         return Err(ConnectError::Evacuated(entry.domain.clone()));
     }
     let stream = socket::connect(entry.address.0, CONNECT_TIMEOUT).await?;
+    let stream = WatchedStream::new(node.clone(), Reader::Upstream, stream);
+    let flow = stream.flow();
     let (sender, connection) =
         http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream)).await?;
     let closed_here = Arc::new(AtomicBool::new(false));
     let connections = permit.0.clone();
-    let is_closed_here = closed_here.clone();
+    let (is_closed_here, written) = (closed_here.clone(), flow.clone());
     tokio::spawn(async move {
         // An error also reaches the request that uses the connection.
         let _ = connection.await;
         drop(permit);
-        if !is_closed_here.load(Ordering::Relaxed) {
+        if !is_closed_here.load(Ordering::Relaxed) && !written.transfer().is_cut {
             connections.crash_watch.record_sign(&node, &connections, &entry);
         }
     });
-    Ok(Connection { sender, closed_here })
+    Ok(Connection { sender, flow, closed_here })
 }
 
 /// Returns what is notified if `request` gets more than [`MAX_INTERIM_RESPONSES`].
@@ -480,33 +493,36 @@
 /// dropped.
 async fn read_body(node: &Node, mut body: Incoming) -> Result<(Bytes, Reservation), BodyError> {
     let mut guard = BodyGuard { node, cause: "time" };
-    let mut reservation = node.body_memory.try_reserve(0).ok_or(BodyError::OutOfMemoryBudget)?;
+    let mut reservation = node.body_memory.empty();
     let mut first: Option<Bytes> = None;
     let mut rest = BytesMut::new();
     while let Some(frame) = body.frame().await {
         guard.cause = "broken";
         let Ok(data) = frame?.into_data() else { continue };
-        let size = first.as_ref().map_or(0, Bytes::len) + rest.len() + data.len();
+        let received =
+            if rest.is_empty() { first.as_ref().map_or(0, Bytes::len) } else { rest.len() };
+        let size = received + data.len();
         guard.cause = "length";
         if size > MAX_REPLY_BYTES {
             return Err(BodyError::TooLong);
         }
         guard.cause = "memory";
         let share = if size > ORDINARY_REPLY_BYTES { 0.5 } else { 1.0 };
-        if !reservation.try_grow_within(data.len(), share) {
+        if !reservation.grow_within(node.now(), data.len(), share).await {
             return Err(BodyError::OutOfMemoryBudget);
         }
         guard.cause = "time";
         match &first {
             None => first = Some(data),
-            Some(_) => rest.extend_from_slice(&data),
+            Some(first) => {
+                if rest.is_empty() {
+                    rest.extend_from_slice(first);
+                }
+                rest.extend_from_slice(&data);
+            }
         }
     }
     guard.received();
-    let first = first.unwrap_or_default();
-    if rest.is_empty() {
-        return Ok((first, reservation));
-    }
-    let body = [first.as_ref(), rest.as_ref()].concat();
-    Ok((body.into(), reservation))
+    let body = if rest.is_empty() { first.unwrap_or_default() } else { rest.freeze() };
+    Ok((body, reservation))
 }
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -91,7 +91,8 @@
     let limit = table.limits.body_bytes;
     // A body of unknown length may take up the whole limit.
     let expected = hyper::body::Body::size_hint(&body).upper().map_or(limit, |n| n as usize);
-    let Some(_reservation) = node.body_memory.try_reserve(expected.min(limit)) else {
+    let reservation = node.body_memory.reserve(arrived, expected.min(limit)).await;
+    let Some(mut reservation) = reservation else {
         return refuse(Reason::Overload, retry_after::BUSY_DELAY);
     };
     let timeout = metadata.timeout.unwrap_or(route.timeout).min(route.timeout);
@@ -109,6 +110,9 @@
             );
         }
     };
+    reservation.shrink_to(body.len());
+    // Held until the last attempt that may still be reading it has ended.
+    let body = reservation.hold(body);
     let fingerprint = fingerprint(&host, &head, &body);
     if node.crash_quarantine.lock().refuse(arrived, fingerprint) {
         let reason = Reason::Quarantined;
@@ -137,11 +141,16 @@
         log: RequestLog::new(&node, &metadata.request_id, &route, table.generation, arrived),
         request_id: metadata.request_id,
         body,
+        pool_count: state.plan().pools.len(),
         suspect,
         route,
         node,
     };
-    task.run(state).await
+    let mut response = task.run(state).await;
+    let addressee =
+        response::Addressee { request_id: task.request_id, deadline: arrived + timeout };
+    response.extensions_mut().insert(addressee);
+    response
 }
 
 /// Returns the host that a request names, without its port: the port does not select a route.
@@ -227,6 +236,7 @@
     attempt_head: request::Parts,
     request_id: HeaderValue,
     body: Bytes,
+    pool_count: usize,
     suspect: Suspect,
     log: RequestLog,
 }
@@ -327,6 +337,8 @@
             repeatable: self.route.repeatable,
             handle: choice.handle,
             permit: choice.limited.then_some(now),
+            // The attempts to all pools share the body.
+            held: self.body.len() / self.pool_count.max(1),
             suspect: Suspect { after_loss: cause.is_after_loss(), ..self.suspect.clone() },
         };
         let instance = choice.entry.instance.clone();
@@ -366,7 +378,7 @@
         }
         match (completion, &self.route.target) {
             (Completion::Complete | Completion::Partial, Target::FanOut { top_k, .. }) => {
-                self.merge(state, &replies, *top_k)
+                self.merge(state, replies, *top_k)
             }
             (Completion::Complete | Completion::Partial, Target::SinglePool(_)) => {
                 match replies.into_iter().next() {
@@ -394,14 +406,19 @@
     fn merge(
         &self,
         state: &RequestState,
-        replies: &[ReceivedReply],
+        replies: Vec<ReceivedReply>,
         top_k: usize,
     ) -> Response<Body> {
         let bodies: Vec<Bytes> = replies.iter().map(|r| r.response.body().clone()).collect();
         let signatures: Vec<HeaderValue> =
             replies.iter().filter_map(|r| r.metadata.signature.clone()).collect();
         let missing = state.plan().pools.len() - state.replied();
-        let mut response = Response::new(Full::new(merge::top_k(&bodies, top_k)));
+        let merged = merge::top_k(&bodies, top_k);
+        drop(bodies);
+        let mut reservation = self.node.body_memory.empty();
+        replies.into_iter().for_each(|r| reservation.merge(r.reservation));
+        reservation.shrink_to(merged.len());
+        let mut response = Response::new(Full::new(reservation.hold(merged)));
         self.node.codec.write_merged(response.headers_mut(), &signatures, missing);
         response
     }
@@ -422,6 +439,7 @@
 /// Returns the response that relays a single upstream's reply.
 fn relay_reply(reply: ReceivedReply) -> Response<Body> {
     let (mut head, body) = reply.response.into_parts();
+    let body = reply.reservation.hold(body);
     response::strip_hop_by_hop_headers(&mut head.headers);
     if !body.is_empty() {
         // The server sets it anew from the body, which was received in full.
--- a/crates/relay/src/http_server.rs
+++ b/crates/relay/src/http_server.rs
@@ -24,6 +24,7 @@
     node::Node,
     response::{self, Body},
     socket,
+    stream::{Reader, WatchedStream},
 };
 
 /// Maximum number of connections of one listener at a time: bounds file descriptors and memory.
@@ -179,12 +180,19 @@
         last_ms: AtomicU64::new(0),
         busy: AtomicBool::new(false),
     });
+    let stream = WatchedStream::new(node.clone(), Reader::Caller, stream);
+    let flow = stream.flow();
     let service = service_fn(|request| {
-        let (handler, activity) = (handler.clone(), activity.clone());
+        let (handler, activity, flow) = (handler.clone(), activity.clone(), flow.clone());
         async move {
             activity.record(true);
             let mut response = handler.handle(request).await;
             activity.record(false);
+            let now = activity.node.now();
+            let request = response.extensions_mut().remove::<response::Addressee>();
+            let held = hyper::body::Body::size_hint(response.body()).lower() as usize;
+            let (deadline, id) = request.map_or((now, None), |r| (r.deadline, Some(r.request_id)));
+            flow.start(now, deadline, held, id);
             if activity.node.is_draining() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -24,4 +24,5 @@
 mod request_log;
 pub mod response;
 pub mod socket;
+mod stream;
 pub mod supervisor;
--- a/crates/relay/src/log_limiter.rs
+++ b/crates/relay/src/log_limiter.rs
@@ -31,10 +31,12 @@
     Crash,
     /// A request that is put into the crash quarantine.
     Quarantine,
+    /// A connection whose other end reads too slowly.
+    SlowReader,
 }
 
 /// Values of the log field `kind`, in the order of the variants.
-const KINDS: [(LogKind, &str); 10] = [
+const KINDS: [(LogKind, &str); 11] = [
     (LogKind::Answered, "answered"),
     (LogKind::Partial, "partial"),
     (LogKind::Failed, "failed"),
@@ -45,6 +47,7 @@
     (LogKind::Peer, "peer"),
     (LogKind::Crash, "crash"),
     (LogKind::Quarantine, "quarantine"),
+    (LogKind::SlowReader, "reader"),
 ];
 /// Period to which the rate applies.
 const WINDOW: Duration = Duration::from_secs(1);
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -31,6 +31,8 @@
     pub pools_missing: IntCounter,
     /// Replies that were not received in full, by cause.
     pub replies_cut: IntCounterVec,
+    /// Connections closed because the other end read too slowly, by cause and reader.
+    pub slow_readers: IntCounterVec,
     /// Calls to the platform by result.
     pub platform_calls: IntCounterVec,
     /// Values published by the platform that were rejected.
@@ -59,6 +61,8 @@
     pub requests_in_flight: IntGauge,
     /// Bytes reserved for bodies of requests and replies.
     pub held_bytes: IntGauge,
+    /// Connections whose other end has to read before more can be written.
+    pub blocked_connections: IntGauge,
     /// Open connections to upstreams.
     pub connections: IntGauge,
     /// Generation of the configuration in force.
@@ -119,6 +123,10 @@
                 let help = "Replies that were not received in full";
                 counters(&r, "replies_cut_total", help, &["cause"])
             },
+            slow_readers: {
+                let help = "Connections closed because the other end read too slowly";
+                counters(&r, "slow_readers_total", help, &["cause", "reader"])
+            },
             platform_calls: counters(&r, "platform_calls_total", "Platform calls", &["result"]),
             invalid_values: {
                 let help = "Values in the platform's service that were of no use";
@@ -161,6 +169,10 @@
             },
             requests_in_flight: gauge(&r, "serving", "Requests being served"),
             held_bytes: gauge(&r, "held_bytes", "Bytes of requests and replies held"),
+            blocked_connections: {
+                let help = "Connections that wait for the other end to read";
+                gauge(&r, "blocked_connections", help)
+            },
             connections: gauge(&r, "connections", "Connections to upstreams"),
             generation: gauge(&r, "generation", "Generation of the configuration in force"),
             revision: gauge(&r, "revision", "Revision of the registry that is known"),
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -263,6 +263,7 @@
         let metrics = &self.metrics;
         metrics.requests_in_flight.set(self.in_flight.load(Ordering::Relaxed) as i64);
         metrics.held_bytes.set(self.body_memory.reserved_bytes() as i64);
+        metrics.blocked_connections.set(self.body_memory.blocked_connections() as i64);
         metrics.connections.set(self.connections.len() as i64);
         metrics.generation.set(self.generation().0 as i64);
         let position = self.registry.lock().position();
--- a/crates/relay/src/response.rs
+++ b/crates/relay/src/response.rs
@@ -1,6 +1,6 @@
 //! Responses that a node generates itself, and header handling for those it relays.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header};
@@ -10,6 +10,15 @@
 /// Body of a response.
 pub type Body = Full<Bytes>;
 
+/// The request that a response answers. An extension of the response.
+#[derive(Debug, Clone)]
+pub(crate) struct Addressee {
+    /// The caller's id of the request.
+    pub(crate) request_id: HeaderValue,
+    /// Time until which the caller waits for the answer.
+    pub(crate) deadline: Instant,
+}
+
 /// Hop-by-hop headers: they concern a single connection and are not forwarded.
 static HOP_BY_HOP: [HeaderName; 7] = [
     header::CONNECTION,
