The memory of the VM determines the default of [limits] buffer

Cause: the template renders no [limits] buffer, so a node on a VM of 112 MB could hold 32 MiB of bodies, which take up twice that while they arrive.

Result: the_memory_of_the_vm_determines_the_buffer_unless_it_is_set passes; the setting did not exist before.

--- a/crates/config/src/relay.rs
+++ b/crates/config/src/relay.rs
@@ -78,6 +78,7 @@
     "[node] deployment", "name", "", "Deployment that the node belongs to";
     "[node] failure_domain", "name", "", "Failure domain of the node's VM";
     "[node] cores", "0.001 to 1000", "1", "Processor capacity of the VM, in cores";
+    "[node] memory", "16 to 1048576 MB", "(none)", "Memory of the VM; determines the default of [limits] buffer";
     "[listen] callers", "IP:port", "", "Address that callers connect to";
     "[listen] ready", "IP:port", "", "Address of the readiness check";
     "[listen] directory", "IP:port", "", "Address at which callers look up which nodes to use";
@@ -96,7 +97,7 @@
     "[extra] slack", "0 to 100000", "0", "Second attempts allowed per pool and window in addition to ratio, across all nodes";
     "[extra] window", "1 s to 5 min", "10 s", "Window over which ratio and slack apply";
     "[limits] requests", "1 to 100000", "512", "Requests served concurrently";
-    "[limits] buffer", "1048576 to 4294967296 bytes", "33554432", "Limit on buffered bytes of request and reply bodies";
+    "[limits] buffer", "1048576 to 4294967296 bytes", "33554432, or an eighth of [node] memory if that is less", "Limit on buffered bytes of request and reply bodies";
     "[log] level", "off, error, warn, info, debug or trace", "info", "Log level";
     "[log] rate", "1 to 100000", "20", "Log lines of one kind per second; further lines are counted instead of written";
 }
@@ -110,7 +111,10 @@
         let deployment = node.take(f, "deployment", id::NAME_RULE, None, |v| v.parse().ok());
         let domain = node.take(f, "failure_domain", id::DOMAIN_NAME_RULE, None, |v| v.parse().ok());
         let cores = node.take(f, "cores", "0.001 to 1000", Some(1.0), |v| within(v, 0.001, 1e3));
-        node.finish(f, "deployment, failure_domain, cores");
+        let memory = node.take(f, "memory", "16 to 1048576", Some(None), |v| {
+            within(v, 16.0, 1_048_576.0).map(Some)
+        });
+        node.finish(f, "deployment, failure_domain, cores, memory");
 
         let addr = "IP:port, such as 127.0.0.1:7000";
         let mut listen = f.take_one("listen", true);
@@ -153,7 +157,8 @@
 
         let mut limits = f.take_one("limits", false);
         let requests = limits.take_integer(f, "requests", 1..=100_000, Some(512));
-        let buffer = limits.take_integer(f, "buffer", 1 << 20..=4 << 30, Some(32 << 20));
+        let default_buffer = default_buffer(memory.flatten());
+        let buffer = limits.take_integer(f, "buffer", 1 << 20..=4 << 30, Some(default_buffer));
         limits.finish(f, "requests, buffer");
 
         let mut log = f.take_one("log", false);
@@ -200,6 +205,14 @@
     }
 }
 
+/// Returns the limit on buffered bytes for a VM with `memory_mb` of memory: an eighth, as bodies take
+/// up twice their bytes while they arrive, and the node itself and its connections need the most of
+/// the smallest VMs.
+fn default_buffer(memory_mb: Option<f64>) -> u64 {
+    let share = memory_mb.map_or(u64::MAX, |mb| (mb / 8.0 * f64::from(1 << 20)) as u64);
+    share.clamp(1 << 20, 32 << 20)
+}
+
 /// Parses a comma-separated list of addresses, which may be empty.
 fn parse_addresses(text: &str) -> Option<Vec<SocketAddr>> {
     let parts = text.split(',').map(str::trim).filter(|part| !part.is_empty());
--- a/crates/config/tests/relay.rs
+++ b/crates/config/tests/relay.rs
@@ -33,6 +33,20 @@
     assert_eq!(settings.apply_limit, Duration::from_secs(5));
 }
 
+/// A node on a small VM would hold more than its memory has room for.
+#[test]
+fn the_memory_of_the_vm_determines_the_buffer_unless_it_is_set() {
+    let buffer = |memory: &str, limits: &str| {
+        let node = format!("failure_domain = a\n{memory}");
+        let text = MINIMAL.replace("failure_domain = a\n", &node) + limits;
+        Settings::parse("node.ini", &text).expect("valid settings").max_buffered_bytes >> 20
+    };
+    assert_eq!(buffer("", ""), 32);
+    assert_eq!(buffer("memory = 112\n", ""), 14);
+    assert_eq!(buffer("memory = 4096\n", ""), 32);
+    assert_eq!(buffer("memory = 112\n", "[limits]\nbuffer = 2097152\n"), 2);
+}
+
 #[test]
 fn empty_seeds_give_a_fleet_of_one_node() {
     let text = format!("{MINIMAL}[fleet]\nseeds =\n");
