balsamctl dry-run: where a request would go now, and why

Cause: why a node chooses, avoids or refuses could only be put together from its log.

Change: policy::relay::explain and Pools::explain list the route, the class, the pools' admitted shares and the upstreams in order of cost with each reason. A node serves this as JSON at /explain?host=..&path=.. beside /metrics; balsamctl dry-run shows it.

--- a/crates/balsamctl/src/main.rs
+++ b/crates/balsamctl/src/main.rs
@@ -1,6 +1,7 @@
 //! `balsamctl`: command line tool for operators and callers of a deployment.
 
 mod caller_api;
+mod dry_run;
 mod files;
 mod status;
 mod why;
@@ -79,6 +80,21 @@
         #[bpaf(positional("CLASS"))]
         class: base::id::Class,
     },
+    /// Asks a node that relays requests where a request would go now, and why. Sends no request.
+    #[bpaf(command("dry-run"))]
+    DryRun {
+        #[bpaf(external)]
+        format: Format,
+        /// Metrics address of the node
+        #[bpaf(positional("ADDRESS"))]
+        node: SocketAddr,
+        /// Host of the request
+        #[bpaf(positional("HOST"))]
+        host: String,
+        /// Path of the request
+        #[bpaf(positional("PATH"))]
+        path: String,
+    },
     /// Traces a request through the logs of nodes that relay requests.
     #[bpaf(command)]
     Why {
@@ -158,6 +174,9 @@
         Command::Check { file } => files::check(&file),
         Command::Diff { format, old, new } => files::diff(&old, &new, format),
         Command::Explain { file, class } => files::explain(&file, &class),
+        Command::DryRun { format, node, host, path } => {
+            block_on(dry_run::show(node, &host, &path, format))
+        }
         Command::Why { request, logs } => why::show(&request, &logs),
         Command::Status { format, nodes } => block_on(status::show(&nodes, format)),
         Command::Stop { node } => block_on(status::stop(node)),
--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -9,6 +9,7 @@
 pub mod crash_quarantine;
 pub mod crash_suspects;
 pub mod demand;
+pub mod explain;
 pub mod limiter;
 pub mod memory;
 pub mod merge;
--- a/crates/policy/src/relay/pool.rs
+++ b/crates/policy/src/relay/pool.rs
@@ -3,6 +3,7 @@
 //! Upstreams may pause, be slow, shed load, fail part of their requests, have just started, or
 //! disappear without notice, while each node sees only a small part of the requests.
 
+mod explain;
 mod limits;
 
 use std::{
--- a/crates/relay/src/http_server.rs
+++ b/crates/relay/src/http_server.rs
@@ -19,7 +19,7 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
-    forward,
+    explain, forward,
     log_limiter::LogKind,
     node::Node,
     response::{self, Body},
@@ -71,7 +71,7 @@
     }
 }
 
-/// Serves the node's metrics.
+/// Serves the node's metrics, and explanations of where requests would go.
 #[derive(Debug)]
 pub struct MetricsHandler(pub Arc<Node>);
 
@@ -81,8 +81,15 @@
         request: Request<Incoming>,
     ) -> Pin<Box<dyn Future<Output = Response<Body>> + Send>> {
         Box::pin(async move {
-            if request.uri().path() != METRICS_PATH {
-                return response::plain_text(StatusCode::NOT_FOUND, "metrics are at /metrics");
+            match request.uri().path() {
+                METRICS_PATH => {}
+                explain::PATH => {
+                    return explain::answer(&self.0, request.uri().query().unwrap_or_default());
+                }
+                _ => {
+                    let text = "metrics are at /metrics, explanations at /explain";
+                    return response::plain_text(StatusCode::NOT_FOUND, text);
+                }
             }
             let mut response = Response::new(Body::from(self.0.metrics_text()));
             let content_type = HeaderValue::from_static("text/plain; version=0.0.4");
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod connection;
 mod crash;
 mod crash_watch;
+pub mod explain;
 pub mod forward;
 pub mod http_server;
 pub mod interface;
