--- a/crates/balsamgate/tests/slow_readers.rs
+++ b/crates/balsamgate/tests/slow_readers.rs
@@ -212,3 +212,49 @@
     assert!(!log.contains("the upstream may have crashed"), "this node ended the attempts");
     eventually("nothing is held", async || testbed.held().await == 0).await;
 }
+
+/// Slow callers and an upstream that does not read, together, would take up more than the buffer, or
+/// a request that has run would be reported as one that has not.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_callers_and_upstreams_together_stay_within_the_buffer() {
+    let testbed = testbed(LARGE_BYTES).await;
+    let (store, cancel) = (&testbed.store, testbed.cancel.clone());
+    let unread = UnreadUpstream::start(&fleet::pool(0), "i-unread", store, cancel).await;
+    let unread = unread.expect("an upstream");
+    // Without the other upstream of its own failure domain, the node prefers the one that does not read.
+    let near = testbed.upstreams.iter().find(|u| u.instance() == "i-shard-0-0");
+    near.expect("an upstream of the pool").crash(true);
+    eventually("the node uses the upstream that does not read", async || {
+        let _ = testbed.send(&request("/search/x", "probe")).await;
+        unread.connections() > 0
+    })
+    .await;
+    let before = testbed.peak_kib();
+    let body = Bytes::from(vec![1; LARGE_BODY_BYTES]);
+    let with_body: Vec<CallerRequest> = (0..40)
+        .map(|n| CallerRequest { body: body.clone(), ..request("/search/x", &format!("body-{n}")) })
+        .collect();
+    let with_body = join_all(with_body.iter().enumerate().map(async |(n, request)| {
+        tokio::time::sleep(Duration::from_millis(50) * n as u32).await;
+        (request.id.clone(), testbed.send(request).await)
+    }));
+    let others = async {
+        let (mut slow, mut answers) = (Vec::new(), Vec::new());
+        for n in 0..40 {
+            slow.push(testbed.slow(&format!("slow-{n}")).await);
+            answers.push(testbed.send(&request("/search/x", &format!("fast-{n}"))).await);
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        answers
+    };
+    let (with_body, others) = tokio::join!(with_body, others);
+    let served = others.iter().filter(|a| a.as_ref().is_ok_and(|a| a.status == 200)).count();
+    assert!(served * 20 >= others.len() * 19, "{served} of {}: {others:?}", others.len());
+    for (id, answer) in &with_body {
+        let is_refused = answer.as_ref().is_ok_and(|a| a.status == 503);
+        assert!(!is_refused || !testbed.has_run(id), "{id}: {answer:?}");
+    }
+    let grown = testbed.peak_kib() - before;
+    assert!(grown <= OTHER_KIB, "{grown} KiB more");
+    eventually("nothing is held", async || testbed.held().await == 0).await;
+}
