--- a/crates/policy/src/relay/pool.rs
+++ b/crates/policy/src/relay/pool.rs
@@ -4,6 +4,7 @@
 //! disappear without notice, while each node sees only a small part of the requests.
 
 mod coldness;
+mod explain;
 mod limits;
 
 use std::{
--- a/crates/relay/src/http_server.rs
+++ b/crates/relay/src/http_server.rs
@@ -19,11 +19,12 @@
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
-    forward,
+    explain, forward,
     log_limiter::LogKind,
     node::Node,
     response::{self, Body},
     socket,
+    stream::{Reader, WatchedStream},
 };
 
 /// Maximum number of connections of one listener at a time: bounds file descriptors and memory.
@@ -70,7 +71,7 @@
     }
 }
 
-/// Serves the node's metrics.
+/// Serves the node's metrics, and explanations of where requests would go.
 #[derive(Debug)]
 pub struct MetricsHandler(pub Arc<Node>);
 
@@ -80,8 +81,15 @@
         request: Request<Incoming>,
     ) -> Pin<Box<dyn Future<Output = Response<Body>> + Send>> {
         Box::pin(async move {
-            if request.uri().path() != METRICS_PATH {
-                return response::plain_text(StatusCode::NOT_FOUND, "metrics are at /metrics");
+            match request.uri().path() {
+                METRICS_PATH => {}
+                explain::PATH => {
+                    return explain::answer(&self.0, request.uri().query().unwrap_or_default());
+                }
+                _ => {
+                    let text = "metrics are at /metrics, explanations at /explain";
+                    return response::plain_text(StatusCode::NOT_FOUND, text);
+                }
             }
             let mut response = Response::new(Body::from(self.0.metrics_text()));
             let content_type = HeaderValue::from_static("text/plain; version=0.0.4");
@@ -179,12 +187,19 @@
         last_ms: AtomicU64::new(0),
         busy: AtomicBool::new(false),
     });
+    let stream = WatchedStream::new(node.clone(), Reader::Caller, stream);
+    let flow = stream.flow();
     let service = service_fn(|request| {
-        let (handler, activity) = (handler.clone(), activity.clone());
+        let (handler, activity, flow) = (handler.clone(), activity.clone(), flow.clone());
         async move {
             activity.record(true);
             let mut response = handler.handle(request).await;
             activity.record(false);
+            let now = activity.node.now();
+            let request = response.extensions_mut().remove::<response::Addressee>();
+            let held = hyper::body::Body::size_hint(response.body()).lower() as usize;
+            let (deadline, id) = request.map_or((now, None), |r| (r.deadline, Some(r.request_id)));
+            flow.start(now, deadline, held, id);
             if activity.node.is_draining() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
--- a/crates/relay/src/isolation.rs
+++ b/crates/relay/src/isolation.rs
@@ -312,10 +312,10 @@
                 record(node, metadata, peer, "unreachable", Some(&cause));
                 continue;
             }
-            Ok((response, _reservation)) => {
+            Ok((response, reservation)) => {
                 let success = response.status().is_success();
                 let result = if success { "answered" } else { "failed" };
-                (result, forward::relay_response(response))
+                (result, forward::relay_response(response.map(|body| reservation.hold(body))))
             }
             Err(Failure::Lost(cause)) => {
                 record(node, metadata, peer, "lost", Some(&cause));
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod connection;
 mod crash;
 mod crash_watch;
+pub mod explain;
 pub mod forward;
 pub mod http_server;
 pub mod interface;
@@ -25,4 +26,5 @@
 mod request_log;
 pub mod response;
 pub mod socket;
+mod stream;
 pub mod supervisor;
