Queue model: overload by class, measured before triage

Cause: it was not known how much of an overload's cost is shortage and how much is second attempts, pauses, split queues and work on searches that fail in the end.

Change: the queue model has classes of searches, bounded queues, outages that nodes see in the registry, load over time, and two decisions with full knowledge. A request that starts during a pause is delayed by the rest of the pause; it was delayed by a whole one.

--- a/crates/policy/tests/queue_model/mod.rs
+++ b/crates/policy/tests/queue_model/mod.rs
@@ -37,6 +37,32 @@
     Fails(f64),
 }
 
+/// A class of requests.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Class {
+    /// Share of the requests.
+    pub(crate) share: f64,
+    pub(crate) rank: u32,
+    pub(crate) work: Duration,
+    pub(crate) goal: Duration,
+    pub(crate) min_replies: usize,
+}
+
+/// Who decides what is admitted.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum Decision {
+    /// Every request is sent.
+    Everything,
+    /// The decision of the nodes.
+    Nodes,
+    /// The nodes choose upstreams, but requests that too few pools would serve in time are refused,
+    /// with knowledge of all queues.
+    Foresight,
+    /// One scheduler that knows all queues, the capacity and the demand by class. It sends a request
+    /// to the pools that will serve it in time, and to no other.
+    Oracle,
+}
+
 /// Load, upstreams and parameters of the decisions.
 #[derive(Debug, Clone)]
 pub(crate) struct Scenario {
@@ -55,8 +81,25 @@
     /// Least number of pools that must reply for an answer.
     pub(crate) min_replies: usize,
     pub(crate) max_attempts: usize,
-    /// Whether admission control is used.
-    pub(crate) admission: bool,
+    pub(crate) decision: Decision,
+    /// Whether slow attempts are followed by second attempts.
+    pub(crate) hedges: bool,
+    /// Classes of requests; if empty, one class of `work`, `goal` and `min_replies`.
+    pub(crate) classes: Vec<Class>,
+    /// Requests that an upstream runs concurrently, and that wait for that.
+    pub(crate) slots: usize,
+    pub(crate) queue: usize,
+    /// Length of a pause, during which an upstream makes no progress, and the time between the
+    /// starts of two pauses.
+    pub(crate) pause: Duration,
+    pub(crate) pause_interval: Duration,
+    /// Factor on the requests per second, by time.
+    pub(crate) load: fn(Duration) -> f64,
+    /// Start and end of an outage in which each pool has one upstream left. Later there are new
+    /// processes.
+    pub(crate) outage: Option<(Duration, Duration)>,
+    /// Time whose requests count by class in the outcome.
+    pub(crate) counted: (Duration, Duration),
     /// Fault of an upstream, by the index of its pool and its index in the pool.
     pub(crate) fault: fn(pool: usize, upstream: usize) -> Fault,
     pub(crate) seconds: u64,
@@ -75,13 +118,34 @@
             deadline: Duration::from_secs(2),
             min_replies: 9,
             max_attempts: 2,
-            admission: true,
+            decision: Decision::Nodes,
+            hedges: true,
+            classes: Vec::new(),
+            slots: 3,
+            queue: usize::MAX,
+            pause: Duration::from_millis(150),
+            pause_interval: Duration::from_millis(3_600),
+            load: |_| 1.0,
+            outage: None,
+            counted: (Duration::ZERO, Duration::MAX),
             fault: |_, _| Fault::None,
             seconds: 20,
         }
     }
 }
 
+/// Results of the requests of a class.
+#[derive(Debug, Default, Clone, PartialEq)]
+pub(crate) struct ClassOutcome {
+    pub(crate) requests: usize,
+    pub(crate) in_time: usize,
+    pub(crate) late: usize,
+    pub(crate) failed: usize,
+    pub(crate) refused: usize,
+    /// As [`Outcome::total_value`].
+    pub(crate) value: f64,
+}
+
 /// Results of all requests of a simulation.
 #[derive(Debug, Default, PartialEq)]
 pub(crate) struct Outcome {
@@ -104,6 +168,15 @@
     pub(crate) late: usize,
     /// Second attempts that the budget denied.
     pub(crate) denied: usize,
+    /// Results of the counted time by class.
+    pub(crate) classes: Vec<ClassOutcome>,
+    /// Requests and their value, by tenth of a second of their arrival.
+    pub(crate) timeline: Vec<(usize, f64)>,
+    /// Time that slots were busy with requests of the counted time, with the second attempts among
+    /// them, and with requests that failed or were late.
+    pub(crate) busy: Duration,
+    pub(crate) busy_second: Duration,
+    pub(crate) busy_in_vain: Duration,
 }
 
 impl Outcome {
@@ -113,44 +186,73 @@
     }
 }
 
+/// Result of a request at an upstream.
+struct Service {
+    end: Duration,
+    reply: Reply,
+    /// Time for which a slot was busy with it.
+    busy: Duration,
+}
+
 struct Upstream {
     /// When each slot becomes free.
     free_at: Vec<Duration>,
+    /// When each request in the queue leaves it.
+    queued_until: Vec<Duration>,
+    queue: usize,
     /// When the first pause begins.
     first_pause: Duration,
+    pause: Duration,
+    pause_interval: Duration,
     fault: Fault,
 }
 
-/// Requests that an upstream runs concurrently.
-const SLOTS: usize = 3;
-/// Length of a pause, during which an upstream makes no progress.
-const PAUSE: Duration = Duration::from_millis(150);
-/// Time between the starts of two pauses of an upstream.
-const PAUSE_INTERVAL: Duration = Duration::from_millis(3_600);
-
 impl Upstream {
-    /// Runs a request that arrives at `at` and takes `work`, and drops it at `until`. Returns
-    /// when it ends, and whether it was completed.
-    fn serve(&mut self, at: Duration, work: Duration, until: Duration) -> (Duration, bool) {
-        let slot = self.free_at.iter_mut().min().expect("an upstream has slots");
-        if (*slot).max(at) >= until {
-            return (until, false);
-        }
-        let mut end = (*slot).max(at) + work;
-        let mut pause = self.first_pause;
-        while pause < end {
-            if pause + PAUSE > (*slot).max(at) {
-                end += PAUSE;
+    /// Returns when a request that arrives at `at` starts, in which slot, and when it ends if it
+    /// takes `work`.
+    fn plan(&self, at: Duration, work: Duration) -> (usize, Duration, Duration) {
+        let slots = self.free_at.iter().enumerate();
+        let (slot, free_at) = slots.min_by_key(|(_, at)| **at).expect("an upstream has slots");
+        let start = (*free_at).max(at);
+        let mut end = start + work;
+        if !self.pause.is_zero() {
+            let before = start.saturating_sub(self.first_pause + self.pause);
+            let passed = (before.as_nanos() / self.pause_interval.as_nanos()) as u32;
+            let mut pause = self.first_pause + self.pause_interval * passed;
+            while pause < end {
+                if pause + self.pause > start {
+                    // No progress from the start of the pause or of the request on.
+                    end += pause + self.pause - pause.max(start);
+                }
+                pause += self.pause_interval;
             }
-            pause += PAUSE_INTERVAL;
         }
-        *slot = end.min(until);
-        (end.min(until), end <= until)
+        (slot, start, end)
+    }
+
+    /// Runs a request that arrives at `at` and takes `work`, and drops it at `until`.
+    fn serve(&mut self, at: Duration, work: Duration, until: Duration) -> Service {
+        self.queued_until.retain(|end| *end > at);
+        if self.queued_until.len() >= self.queue {
+            return Service { end: at, reply: Reply::Refused, busy: Duration::ZERO };
+        }
+        let (slot, start, end) = self.plan(at, work);
+        if start > at {
+            self.queued_until.push(start.min(until));
+        }
+        if start >= until {
+            return Service { end: until, reply: Reply::Failure, busy: Duration::ZERO };
+        }
+        self.free_at[slot] = end.min(until);
+        let reply = if end <= until { Reply::Success } else { Reply::Failure };
+        Service { end: end.min(until), reply, busy: end.min(until) - start }
     }
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum SimEvent {
+    /// The registry lists one upstream of each pool, or all.
+    Registry { all: bool },
     /// A request arrives at the node.
     Arrival(usize),
     /// The request with this index is polled.
@@ -171,6 +273,57 @@
     Success,
     Failure,
     Refused,
+    NotSent,
+}
+
+/// Time after which the platform and all nodes know that upstreams are lost or new.
+const REGISTRY_DELAY: Duration = Duration::from_millis(200);
+
+/// Returns whether the upstream at `index` of `pool` survives an outage.
+fn survives(pool: usize, index: usize) -> bool {
+    (pool + index).is_multiple_of(DOMAINS.len())
+}
+
+/// One scheduler with full knowledge. Work of the class that is worth least for its work is
+/// limited to what the others leave of the capacity.
+struct Scheduler {
+    /// Work of each class that may be admitted now.
+    tokens: Vec<f64>,
+    updated: Duration,
+}
+
+impl Scheduler {
+    /// Share of the capacity that is used: the rest is lost to uneven arrivals.
+    const LOAD: f64 = 0.98;
+    /// Tokens that are kept, in seconds of a pool's capacity.
+    const BURST_S: f64 = 0.03;
+
+    fn admits(
+        &mut self,
+        at: Duration,
+        class: usize,
+        classes: &[Class],
+        per_second: f64,
+        capacity: f64,
+    ) -> bool {
+        let passed = (at - self.updated).as_secs_f64();
+        self.updated = at;
+        let mut order: Vec<usize> = (0..classes.len()).collect();
+        order.sort_by_key(|c| (classes[*c].rank, classes[*c].work));
+        let mut left = Self::LOAD * capacity;
+        for c in order {
+            let demand = per_second * classes[c].share * classes[c].work.as_secs_f64();
+            let part = if demand <= left { f64::INFINITY } else { left };
+            left = (left - demand).max(0.0);
+            self.tokens[c] = (self.tokens[c] + part * passed).min(Self::BURST_S * capacity);
+        }
+        let work = classes[class].work.as_secs_f64();
+        let admitted = self.tokens[class] >= work;
+        if admitted {
+            self.tokens[class] -= work;
+        }
+        admitted
+    }
 }
 
 /// Simulates `scenario` with random choices from `seed`.
@@ -180,24 +333,29 @@
     let pool_name = |p: usize| -> id::Pool { format!("pool-{p}").parse().expect("name") };
     let mut upstreams: BTreeMap<String, Upstream> = BTreeMap::new();
     let mut events = Vec::new();
+    let entry = |pool: usize, index: usize, born_ms: u64| Entry {
+        instance: id::Instance(format!("u{pool}-{index}").into()),
+        born_ms,
+        pool: pool_name(pool),
+        address: format!("10.0.{pool}.{index}:80").parse().expect("address"),
+        domain: DOMAINS[index].into(),
+        slots: scenario.slots as u16,
+        draining: false,
+        cold: Duration::ZERO,
+    };
     for pool in 0..scenario.pools {
-        for (index, domain) in DOMAINS.iter().enumerate() {
+        for index in 0..DOMAINS.len() {
             let name = format!("u{pool}-{index}");
-            let entry = Entry {
-                instance: id::Instance(name.as_str().into()),
-                born_ms: 1,
-                pool: pool_name(pool),
-                address: format!("10.0.{pool}.{index}:80").parse().expect("address"),
-                domain: (*domain).into(),
-                slots: SLOTS as u16,
-                draining: false,
-                cold: Duration::ZERO,
-            };
             let revision = Revision(events.len() as u64 + 1);
-            events.push(Event { key: name.as_str().into(), revision, change: Change::Put(entry) });
+            let change = Change::Put(entry(pool, index, 1));
+            events.push(Event { key: name.as_str().into(), revision, change });
             let upstream = Upstream {
-                free_at: vec![Duration::ZERO; SLOTS],
-                first_pause: PAUSE_INTERVAL.mul_f64(rng.random()),
+                free_at: vec![Duration::ZERO; scenario.slots],
+                queued_until: Vec::new(),
+                queue: scenario.queue,
+                first_pause: scenario.pause_interval.mul_f64(rng.random()),
+                pause: scenario.pause,
+                pause_interval: scenario.pause_interval,
                 fault: (scenario.fault)(pool, index),
             };
             upstreams.insert(name, upstream);
@@ -221,39 +379,149 @@
     let mut queue: BinaryHeap<Reverse<(Duration, SimEvent)>> = BinaryHeap::new();
     let mut at = Duration::ZERO;
     while at < Duration::from_secs(scenario.seconds) {
-        at += Duration::from_secs_f64(-(1.0 - rng.random::<f64>()).ln() / scenario.per_second);
+        let per_second = scenario.per_second * (scenario.load)(at);
+        at += Duration::from_secs_f64(-(1.0 - rng.random::<f64>()).ln() / per_second);
         queue.push(Reverse((at, SimEvent::Arrival(rng.random_range(0..scenario.nodes)))));
     }
-    let mut outcome = Outcome::default();
-    let mut requests: Vec<Option<(usize, Duration, RequestState)>> = Vec::new();
+    if let Some((start, end)) = scenario.outage {
+        queue.push(Reverse((start + REGISTRY_DELAY, SimEvent::Registry { all: false })));
+        queue.push(Reverse((end, SimEvent::Registry { all: true })));
+    }
+    let is_lost = |at: Duration, pool: usize, index: usize| {
+        scenario
+            .outage
+            .is_some_and(|(start, end)| at >= start && at < end && !survives(pool, index))
+    };
+    let classes = match scenario.classes.as_slice() {
+        [] => {
+            let Scenario { work, goal, min_replies, .. } = *scenario;
+            vec![Class { share: 1.0, rank: 0, work, goal, min_replies }]
+        }
+        classes => classes.to_vec(),
+    };
+    let is_counted = |at: Duration| at >= scenario.counted.0 && at < scenario.counted.1;
+    let mut outcome = Outcome {
+        classes: vec![ClassOutcome::default(); classes.len()],
+        timeline: vec![(0, 0.0); scenario.seconds as usize * 10 + 10],
+        ..Outcome::default()
+    };
+    let mut scheduler = Scheduler { tokens: vec![0.0; classes.len()], updated: Duration::ZERO };
+    let mut requests: Vec<Option<Running>> = Vec::new();
     let (mut first, mut second_attempts) = (0usize, 0usize);
     while let Some(Reverse((at, event))) = queue.pop() {
         let now = base + at;
         let index = match event {
+            SimEvent::Registry { all } => {
+                let mut events = Vec::new();
+                let revision = Revision(until.0 + if all { 2 } else { 1 });
+                for pool in 0..scenario.pools {
+                    for index in (0..DOMAINS.len()).filter(|i| !survives(pool, *i)) {
+                        let key = format!("u{pool}-{index}").as_str().into();
+                        let change =
+                            if all { Change::Put(entry(pool, index, 2)) } else { Change::Removed };
+                        events.push(Event { key, revision, change });
+                    }
+                }
+                registry.apply(now, events, revision);
+                nodes.iter_mut().for_each(|pools| drop(pools.sync(now, &registry)));
+                continue;
+            }
             SimEvent::Arrival(node) => {
-                let goal = match scenario.knows_setup_time {
-                    true => scenario.goal - scenario.setup_time,
-                    false => scenario.goal,
+                let class = pick(&classes, &mut rng);
+                let Class { rank, work, goal, min_replies, .. } = classes[class];
+                let goal_left = match scenario.knows_setup_time {
+                    true => goal - scenario.setup_time,
+                    false => goal,
                 };
                 let plan = Plan {
                     pools: (0..scenario.pools).map(pool_name).collect(),
                     connection_limits: vec![66; scenario.pools],
-                    min_replies: scenario.min_replies,
+                    min_replies,
                     max_attempts: scenario.max_attempts,
-                    repeatable: true,
-                    rank: 0,
-                    goal,
+                    repeatable: scenario.hedges,
+                    rank,
+                    goal: goal_left,
                     arrived: now,
                     deadline: now + scenario.deadline,
                 };
                 outcome.requests += 1;
+                outcome.timeline[at.as_millis() as usize / 100].0 += 1;
+                if is_counted(at) {
+                    outcome.classes[class].requests += 1;
+                }
                 let mut request = RequestState::new(plan);
-                if scenario.admission && !request.admit(now, &mut nodes[node], rng.random()) {
+                let draw = rng.random();
+                let until = request.attempt_deadline().saturating_duration_since(base);
+                // For each pool, the upstream that would be the first to serve the request in time.
+                let serving = |upstreams: &BTreeMap<String, Upstream>| -> Vec<String> {
+                    let of_pool = |pool: usize| {
+                        let live = (0..DOMAINS.len()).filter(|i| !is_lost(at, pool, *i));
+                        let ends = live.map(|index| {
+                            let name = format!("u{pool}-{index}");
+                            let upstream = &upstreams[&name];
+                            (upstream.plan(at + ROUND_TRIP / 2, work.mul_f64(1.2)).2, name)
+                        });
+                        ends.min().filter(|(end, _)| *end + DEADLINE_MARGIN <= until)
+                    };
+                    (0..scenario.pools).filter_map(of_pool).map(|(_, name)| name).collect()
+                };
+                let admitted = match scenario.decision {
+                    Decision::Everything => true,
+                    Decision::Nodes => request.admit(now, &mut nodes[node], draw),
+                    Decision::Foresight => serving(&upstreams).len() >= min_replies,
+                    Decision::Oracle => {
+                        let live = (0..DOMAINS.len()).filter(|i| !is_lost(at, 0, *i)).count();
+                        let working = 1.0
+                            - scenario.pause.as_secs_f64() / scenario.pause_interval.as_secs_f64();
+                        let capacity = (live * scenario.slots) as f64 * working / MEAN_TAIL;
+                        let per_second = scenario.per_second * (scenario.load)(at);
+                        let serving = serving(&upstreams);
+                        if serving.len() >= min_replies
+                            && scheduler.admits(at, class, &classes, per_second, capacity)
+                        {
+                            let mut end = at;
+                            let mut replied = 0;
+                            for name in serving {
+                                let work = random_work(work, &mut rng);
+                                let upstream =
+                                    upstreams.get_mut(&name).expect("the upstream exists");
+                                let served = upstream.serve(at + ROUND_TRIP / 2, work, until);
+                                outcome.busy += served.busy * u32::from(is_counted(at));
+                                if served.reply == Reply::Success {
+                                    replied += 1;
+                                    end = end.max(served.end + ROUND_TRIP / 2);
+                                }
+                            }
+                            let share = replied as f64 / scenario.pools as f64;
+                            let answered = replied >= min_replies;
+                            let value = if answered { share * share } else { 0.0 };
+                            outcome.total_value += value;
+                            outcome.failed += usize::from(!answered);
+                            outcome.timeline[at.as_millis() as usize / 100].1 += value;
+                            if is_counted(at) {
+                                let of_class = &mut outcome.classes[class];
+                                of_class.value += value;
+                                of_class.in_time += usize::from(answered);
+                                of_class.failed += usize::from(!answered);
+                            }
+                            continue;
+                        }
+                        false
+                    }
+                };
+                if !admitted {
                     request.record_samples(now, &mut nodes[node]);
                     outcome.refused += 1;
+                    outcome.classes[class].refused += usize::from(is_counted(at));
                     continue;
                 }
-                requests.push(Some((node, at, request)));
+                requests.push(Some(Running {
+                    node,
+                    class,
+                    arrived: at,
+                    busy: Duration::ZERO,
+                    state: request,
+                }));
                 requests.len() - 1
             }
             SimEvent::Wake(request) => request,
@@ -262,16 +530,19 @@
                     Reply::Success => AttemptEnd::Reply { success: true },
                     Reply::Failure => AttemptEnd::Reply { success: false },
                     Reply::Refused => AttemptEnd::Refused,
+                    Reply::NotSent => AttemptEnd::NotSent,
                 };
                 nodes[node].record_end(now, handle, base + sent, end);
-                if let Some((_, _, running)) = &mut requests[request] {
-                    running.record_end(pool_index, end);
+                if let Some(running) = &mut requests[request] {
+                    running.state.record_end(pool_index, end);
                 }
                 request
             }
         };
-        let Some((node, arrived, request)) = &mut requests[index] else { continue };
-        let node = *node;
+        let Some(running) = &mut requests[index] else { continue };
+        let Running { node, class, arrived, busy, state: request } = running;
+        let (node, class, arrived) = (*node, *class, *arrived);
+        let Class { work, goal, .. } = classes[class];
         let mut completion = request.completion(now);
         if completion.is_none() {
             for attempt in request.due_attempts(now, &mut nodes[node], &mut rng) {
@@ -284,19 +555,28 @@
                 let refused = matches!(upstream.fault, Fault::Refuses(x) if rng.random_bool(x));
                 let failed = matches!(upstream.fault, Fault::Fails(x) if rng.random_bool(x));
                 let slow = if let Fault::Slow(x) = upstream.fault { x } else { 1.0 };
-                let spread = 0.5 + rng.random::<f64>();
-                let tail = if rng.random_bool(0.01) { 5.0 } else { 1.0 };
-                let work = scenario.work.mul_f64(slow * spread * tail);
+                let work = random_work(work, &mut rng).mul_f64(slow);
+                let index_in_pool = DOMAINS.iter().position(|d| *d == attempt.choice.entry.domain);
+                let index_in_pool = index_in_pool.expect("the domain exists");
                 let (done, reply) = if refused {
                     (at + ROUND_TRIP, Reply::Refused)
+                } else if is_lost(at, attempt.pool_index, index_in_pool) {
+                    (at + ROUND_TRIP, Reply::NotSent)
                 } else if upstream.fault == Fault::Silent {
                     continue;
                 } else {
                     let until = request.attempt_deadline();
                     let until = until.saturating_duration_since(base);
-                    let (done, completed) = upstream.serve(at + ROUND_TRIP / 2, work, until);
-                    let success = completed && !failed;
-                    (done + ROUND_TRIP / 2, if success { Reply::Success } else { Reply::Failure })
+                    let served = upstream.serve(at + ROUND_TRIP / 2, work, until);
+                    *busy += served.busy;
+                    if is_counted(arrived) {
+                        outcome.busy += served.busy;
+                        if attempt.cause == Cause::Slow {
+                            outcome.busy_second += served.busy;
+                        }
+                    }
+                    let reply = if failed { Reply::Failure } else { served.reply };
+                    (served.end + ROUND_TRIP / 2, reply)
                 };
                 let event = SimEvent::AttemptEnded {
                     request: index,
@@ -316,18 +596,34 @@
             queue.push(Reverse((wake, SimEvent::Wake(index))));
             continue;
         };
-        let elapsed = at - *arrived + scenario.setup_time;
+        let elapsed = at - arrived + scenario.setup_time;
         outcome.longest = outcome.longest.max(elapsed);
         outcome.denied += request.denied();
         request.record_samples(now, &mut nodes[node]);
         let share = request.replied() as f64 / scenario.pools as f64;
+        let mut of_request = ClassOutcome::default();
         match completion {
-            Completion::Failed { .. } => outcome.failed += 1,
+            Completion::Failed { .. } => of_request.failed = 1,
             Completion::Complete | Completion::Partial => {
-                let late = if elapsed > scenario.goal { 0.1 } else { 1.0 };
-                outcome.late += usize::from(elapsed > scenario.goal);
+                let is_late = elapsed > goal;
+                of_request.late = usize::from(is_late);
+                of_request.in_time = usize::from(!is_late);
+                of_request.value = share * share * if is_late { 0.1 } else { 1.0 };
                 outcome.partial += usize::from(completion == Completion::Partial);
-                outcome.total_value += share * share * late;
+            }
+        }
+        outcome.failed += of_request.failed;
+        outcome.late += of_request.late;
+        outcome.total_value += of_request.value;
+        outcome.timeline[arrived.as_millis() as usize / 100].1 += of_request.value;
+        if is_counted(arrived) {
+            let sum = &mut outcome.classes[class];
+            sum.in_time += of_request.in_time;
+            sum.late += of_request.late;
+            sum.failed += of_request.failed;
+            sum.value += of_request.value;
+            if of_request.in_time == 0 {
+                outcome.busy_in_vain += *busy;
             }
         }
         requests[index] = None;
@@ -335,3 +631,39 @@
     outcome.second_attempt_ratio = second_attempts as f64 / first as f64;
     outcome
 }
+
+/// A request that has been admitted.
+struct Running {
+    node: usize,
+    class: usize,
+    arrived: Duration,
+    /// Time that slots were busy with it.
+    busy: Duration,
+    state: RequestState,
+}
+
+/// Time reserved for the reply and for work that takes longer than usual.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(4);
+/// Mean of the random factor on the work of a request.
+const MEAN_TAIL: f64 = 1.04;
+
+/// Returns the work of one request of a class: 0.5 to 1.5 times `typical`, and one in a hundred
+/// takes five times as long.
+fn random_work(typical: Duration, rng: &mut ChaCha8Rng) -> Duration {
+    let spread = 0.5 + rng.random::<f64>();
+    let tail = if rng.random_bool(0.01) { 5.0 } else { 1.0 };
+    typical.mul_f64(spread * tail)
+}
+
+/// Draws a class by its share.
+fn pick(classes: &[Class], rng: &mut ChaCha8Rng) -> usize {
+    if classes.len() < 2 {
+        return 0;
+    }
+    let mut draw = rng.random::<f64>();
+    let found = classes.iter().position(|class| {
+        draw -= class.share;
+        draw < 0.0
+    });
+    found.unwrap_or(classes.len() - 1)
+}
--- a/crates/policy/tests/relay_load.rs
+++ b/crates/policy/tests/relay_load.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use queue_model::{Fault, Outcome, Scenario, simulate};
+use queue_model::{Class, Decision, Fault, Outcome, Scenario, simulate};
 
 const SEED: u64 = 20_261_204;
 
@@ -129,7 +129,7 @@
         Scenario { pools: 36, min_replies: 35, per_second: 110.0, ..Scenario::default() };
     let check = |fault, gain: f64| {
         let with = run(&Scenario { fault, ..scenario.clone() });
-        let without = run(&Scenario { fault, admission: false, ..scenario.clone() });
+        let without = run(&Scenario { fault, decision: Decision::Everything, ..scenario.clone() });
         assert!(with.mean_value() >= without.mean_value() + gain, "{with:?} against {without:?}");
     };
     check(short_of_capacity, 0.15);
@@ -157,3 +157,79 @@
     assert!(aware.late * 100 <= aware.requests, "{aware:?}");
     assert!(unaware.late * 100 > unaware.requests, "{unaware:?}");
 }
+
+const OUTAGE: (Duration, Duration) = (Duration::from_secs(3), Duration::from_secs(13));
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// Long and short searches over 36 pools, of which each has one upstream of three left for 10 s.
+fn outage(per_second: f64) -> Scenario {
+    let long = Class { share: 0.75, rank: 0, work: ms(15) / 2, goal: ms(120), min_replies: 35 };
+    let short = Class { share: 0.25, rank: 0, work: ms(5) / 2, goal: ms(40), min_replies: 31 };
+    Scenario {
+        pools: 36,
+        per_second,
+        classes: vec![long, short],
+        slots: 4,
+        queue: 24,
+        pause: ms(100),
+        pause_interval: ms(2_400),
+        outage: Some(OUTAGE),
+        counted: (OUTAGE.0 + ms(1_000), OUTAGE.1),
+        seconds: 17,
+        ..Scenario::default()
+    }
+}
+
+/// Returns `factor` times the searches per second that one upstream of each pool can serve.
+fn of_capacity(factor: f64) -> f64 {
+    factor * 4.0 * (1.0 - 100.0 / 2_400.0) / (0.75 * 0.0075 + 0.25 * 0.0025) / 1.04
+}
+
+/// Returns the mean value of the searches that arrive in one second.
+fn second_value(outcome: &Outcome, start: Duration) -> f64 {
+    let first = start.as_millis() as usize / 100;
+    let buckets = &outcome.timeline[first..first + 10];
+    let requests: usize = buckets.iter().map(|(requests, _)| requests).sum();
+    buckets.iter().map(|(_, value)| value).sum::<f64>() / requests as f64
+}
+
+/// Prints a row of the tables in docs/design/triage.md.
+fn print_row(label: &str, scenario: &Scenario) {
+    let outcome = simulate(scenario, SEED);
+    let requests: usize = outcome.classes.iter().map(|c| c.requests).sum();
+    let value = outcome.classes.iter().map(|c| c.value).sum::<f64>() / requests as f64;
+    let share = |n: usize, of: usize| format!("{:.3}", n as f64 / of.max(1) as f64);
+    let by_class = outcome.classes.iter().map(|c| {
+        let shares = [c.in_time, c.late, c.failed, c.refused].map(|n| share(n, c.requests));
+        shares.join(" ")
+    });
+    let by_class: Vec<String> = by_class.collect();
+    let slots = (scenario.counted.1 - scenario.counted.0).as_secs_f64()
+        * (scenario.pools * scenario.slots) as f64;
+    let busy = [outcome.busy, outcome.busy_second, outcome.busy_in_vain];
+    let busy = busy.map(|time| format!("{:.2}", time.as_secs_f64() / slots)).join(" ");
+    let back = second_value(&outcome, OUTAGE.1);
+    println!("| {label} | {value:.3} | {} | {busy} | {back:.2} |", by_class.join(" | "));
+}
+
+#[test]
+#[ignore = "prints the tables of docs/design/triage.md"]
+fn overload_by_class() {
+    println!("| | value | long | short | busy, second, in vain | back |");
+    let loads = [("page", 265.0), ("0.7", of_capacity(0.7)), ("1.0", of_capacity(1.0))];
+    let more = [("1.25", of_capacity(1.25)), ("1.7", of_capacity(1.7))];
+    for (load, per_second) in loads.into_iter().chain(more) {
+        let nodes = outage(per_second);
+        let decision = |decision| Scenario { decision, ..nodes.clone() };
+        print_row(&format!("{load} nodes"), &nodes);
+        print_row(&format!("{load} everything"), &decision(Decision::Everything));
+        print_row(&format!("{load} no hedges"), &Scenario { hedges: false, ..nodes.clone() });
+        print_row(&format!("{load} no pauses"), &Scenario { pause: ms(0), ..nodes.clone() });
+        print_row(&format!("{load} one node"), &Scenario { nodes: 1, ..nodes.clone() });
+        print_row(&format!("{load} foresight"), &decision(Decision::Foresight));
+        print_row(&format!("{load} oracle"), &decision(Decision::Oracle));
+    }
+}
