Triage replaces admission by one share for all requests

Change: policy::relay::triage moves the admitted part of a pool by the waits that replies show, and allocates it to the routes by rank, then by work, with a floor for each. The part grows within a second, and in proportion to slots that return. A short pool gets no second attempt unless an upstream is idle. Gauges of short pools, and a counter of refusals by route.

--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -4,7 +4,6 @@
 //! replies are merged. A **pool** is a set of interchangeable upstreams. Routes name pools; the
 //! registry lists the upstreams of each pool.
 
-pub mod admission;
 pub mod completed;
 pub mod crash_quarantine;
 pub mod crash_suspects;
@@ -20,5 +19,6 @@
 pub mod retry_after;
 pub mod retry_budget;
 pub mod route;
+pub mod triage;
 pub mod upstream;
 pub mod watch;
--- a/crates/policy/src/relay/pool.rs
+++ b/crates/policy/src/relay/pool.rs
@@ -18,12 +18,12 @@
 use smol_str::SmolStr;
 
 use super::{
-    admission::{PoolAdmission, Sample},
     demand::{Averages, Key, RankedMeter},
     limiter::{Attempt, Limiter, MAX_PERMIT_AGE},
     notice::Rest,
     registry::{Availability, Entry, Registry},
     retry_budget::{RetryBound, RetryBudget},
+    triage::{Class, Load, PoolTriage, Sample},
     upstream::{AttemptEnd, Upstream, UpstreamStats},
 };
 
@@ -128,7 +128,7 @@
     /// Upstreams of the pool, sorted.
     handles: Vec<UpstreamHandle>,
     budget: RetryBudget,
-    admission: PoolAdmission,
+    triage: PoolTriage,
     demand: RankedMeter,
 }
 
@@ -231,7 +231,15 @@
             self.upstreams.insert(handle, upstream);
             self.pool_mut(now, &entry.pool).handles.push(handle);
         }
-        self.pools.values_mut().for_each(|p| p.handles.sort_unstable());
+        let (upstreams, evacuated) = (&self.upstreams, &self.evacuated);
+        for pool in self.pools.values_mut() {
+            pool.handles.sort_unstable();
+            let entries = pool.handles.iter().filter_map(|handle| upstreams.get(handle));
+            let usable = entries.filter(|u| {
+                u.availability != Availability::LastResort && !evacuated.contains(&u.entry.domain)
+            });
+            pool.triage.set_slots(usable.map(|u| u32::from(u.entry.slots.max(1))).sum());
+        }
         let keys = self.upstreams.iter().map(|(handle, u)| (process_key(&u.entry), *handle));
         self.process_keys = keys.collect();
         let limited = self.upstreams.iter().filter(|(_, u)| u.stats.limit_heard_at().is_some());
@@ -245,9 +253,9 @@
     fn pool_mut(&mut self, now: Instant, name: &id::Pool) -> &mut Pool {
         if !self.pools.contains_key(name) {
             let budget = RetryBudget::new(self.bound, self.process_start, now);
-            let admission = PoolAdmission::new(now);
+            let triage = PoolTriage::new(now);
             let demand = RankedMeter::default();
-            let pool = Pool { handles: Vec::new(), budget, admission, demand };
+            let pool = Pool { handles: Vec::new(), budget, triage, demand };
             self.pools.insert(name.clone(), pool);
             self.pool_keys.insert(pool_key(name), name.clone());
         }
@@ -423,15 +431,38 @@
         self.pool_mut(now, pool).budget.remaining_share(now, nodes)
     }
 
-    /// Returns whether `pool` is expected to serve a request with the random number `draw` from
-    /// 0 to 1.
-    pub fn admits(&mut self, now: Instant, pool: &id::Pool, draw: f64) -> bool {
-        draw < self.pool_mut(now, pool).admission.admitted_share(now)
+    /// Records a request of `class` to `pool` among several pools. Returns whether the pool is
+    /// expected to serve it, given its random number `draw` from 0 to 1.
+    pub fn admits(&mut self, now: Instant, pool: &id::Pool, class: &Class, draw: f64) -> bool {
+        let triage = &mut self.pool_mut(now, pool).triage;
+        triage.record_demand(now, class);
+        draw < triage.admitted_share(now, class)
+    }
+
+    /// Returns whether `pool` is short of capacity.
+    pub fn is_short(&self, pool: &id::Pool) -> bool {
+        self.pools.get(pool).is_some_and(|p| p.triage.is_short())
+    }
+
+    /// Returns the pools that are short of capacity, with the work that this node is asked for.
+    pub fn short_pools(&self, now: Instant) -> impl Iterator<Item = (&id::Pool, Load)> {
+        let short = self.pools.iter().filter(|(_, p)| p.triage.is_short());
+        short.map(move |(name, pool)| (name, pool.triage.load(now)))
+    }
+
+    /// Returns whether `pool` has an upstream that is not in `tried` and has no attempt of this node
+    /// in flight.
+    pub fn has_idle_untried(&self, pool: &id::Pool, tried: &[UpstreamHandle]) -> bool {
+        let idle = |handle: &UpstreamHandle| {
+            let upstream = self.upstreams.get(handle);
+            !tried.contains(handle) && upstream.is_some_and(|u| u.stats.in_flight() == 0)
+        };
+        self.pools.get(pool).is_some_and(|p| p.handles.iter().any(idle))
     }
 
-    /// Records the result of a request at `pool` for admission control.
-    pub fn record_sample(&mut self, now: Instant, pool: &id::Pool, sample: Sample) {
-        self.pool_mut(now, pool).admission.record(now, sample);
+    /// Records the result of a request of `class` among several pools at `pool`.
+    pub fn record_sample(&mut self, now: Instant, pool: &id::Pool, class: &Class, sample: Sample) {
+        self.pool_mut(now, pool).triage.record(now, class, sample);
     }
 
     /// Records that an attempt was sent.
--- a/crates/policy/src/relay/request.rs
+++ b/crates/policy/src/relay/request.rs
@@ -8,11 +8,12 @@
 
 use base::id;
 use rand::RngCore;
+use smol_str::SmolStr;
 
 use super::{
-    admission::Sample,
     limiter::Attempt,
     pool::{Choice, Pools, UpstreamHandle},
+    triage::{Class, Sample},
     upstream::AttemptEnd,
 };
 use crate::outcome::{Fate, Reason};
@@ -49,6 +50,8 @@
 /// Fixed parameters of one request.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Plan {
+    /// Name of its route.
+    pub route: SmolStr,
     /// Pools of which one upstream each is asked.
     pub pools: Vec<id::Pool>,
     /// For each pool, the number of connections that each of its upstreams accepts from all
@@ -121,6 +124,10 @@
     /// Upstreams to which attempts were sent, as handles and as ids.
     tried: Vec<UpstreamHandle>,
     tried_ids: Vec<id::Instance>,
+    /// When the first attempt was sent.
+    sent_at: Option<Instant>,
+    /// Whether its reply has been recorded for triage.
+    sampled: bool,
     in_flight: usize,
     replied: bool,
     /// Combined fate of the attempts that have ended.
@@ -150,6 +157,8 @@
 #[derive(Debug)]
 pub struct RequestState {
     plan: Plan,
+    /// Class of the request for triage.
+    class: Class,
     /// State at each pool of the plan, in the same order.
     pools: Vec<PoolState>,
     /// Number of pools that have replied.
@@ -174,8 +183,10 @@
     /// Creates the state of a request of which nothing has been sent.
     pub fn new(plan: Plan) -> RequestState {
         let pools = plan.pools.iter().map(|_| PoolState::default()).collect();
+        let class = Class { route: plan.route.clone(), rank: plan.rank, goal: plan.goal };
         RequestState {
             plan,
+            class,
             pools,
             replied: 0,
             exhausted: 0,
@@ -201,7 +212,7 @@
             return true;
         }
         for (state, pool) in self.pools.iter_mut().zip(&self.plan.pools) {
-            state.short = !pools.admits(now, pool, draw);
+            state.short = !pools.admits(now, pool, &self.class, draw);
         }
         let short = self.pools.iter().filter(|p| p.short).count();
         let admitted = self.pools.len() - short >= self.plan.min_replies;
@@ -209,25 +220,36 @@
         admitted
     }
 
-    /// Records the result at each pool for admission control. Must be called once the request
-    /// has been answered or refused.
-    pub fn record_samples(&self, now: Instant, pools: &mut Pools) {
+    /// Records the pools that got no reply in time, for triage. Must be called once the request has
+    /// been answered or refused.
+    pub fn record_samples(&mut self, now: Instant, pools: &mut Pools) {
+        self.record_replies(now, pools);
         if self.pools.len() < 2 {
             return;
         }
         let late = now >= self.partial_answer_at();
         for (state, pool) in self.pools.iter().zip(&self.plan.pools) {
-            let sample = match state {
-                PoolState { short: true, .. } if self.refused => Sample::Refused,
-                PoolState { replied: true, .. } => Sample::Served,
-                // Its upstreams say themselves when they may be asked again.
-                PoolState { resting: true, .. } => continue,
-                PoolState { exhausted: true, .. } => Sample::Failed,
-                PoolState { tried, .. } if late && !tried.is_empty() => Sample::Failed,
-                // The pool might have replied if the request had not ended early.
-                _ => continue,
-            };
-            pools.record_sample(now, pool, sample);
+            // Upstreams that rest say themselves when they may be asked again. Other pools might
+            // have replied if the request had not ended early.
+            let is_missed = !state.replied && !state.resting && !state.tried.is_empty();
+            if is_missed && (state.exhausted || late) {
+                pools.record_sample(now, pool, &self.class, Sample::Missed);
+            }
+        }
+    }
+
+    /// Records replies that have arrived since the last call, for triage.
+    fn record_replies(&mut self, now: Instant, pools: &mut Pools) {
+        if self.pools.len() < 2 {
+            return;
+        }
+        for (state, pool) in self.pools.iter_mut().zip(&self.plan.pools) {
+            if state.replied && !state.sampled {
+                state.sampled = true;
+                let sent_at = state.sent_at.unwrap_or(now);
+                let sample = Sample::Reply(now.saturating_duration_since(sent_at));
+                pools.record_sample(now, pool, &self.class, sample);
+            }
         }
     }
 
@@ -287,6 +309,7 @@
         pools: &mut Pools,
         rng: &mut dyn RngCore,
     ) -> Vec<PlannedAttempt> {
+        self.record_replies(now, pools);
         if self.lost >= MAX_LOST_WITHOUT_REPLY && self.replied == 0 {
             self.hold_until.get_or_insert(now + CRASH_CHECK_TIME);
         }
@@ -355,6 +378,12 @@
             if !hedge_due || !repeatable || state.tried.len() >= max_attempts {
                 return None;
             }
+            // A slow attempt to a short pool waits in a queue. Another one would only add to the
+            // queues, unless an upstream is idle.
+            if pools.is_short(pool) && !pools.has_idle_untried(pool, &state.tried) {
+                state.second_attempt_at = Some(now + BUDGET_POLL);
+                return None;
+            }
         }
         let may_run_again = repeatable || state.fate.is_none_or(|f| f == Fate::NotRun);
         if idle && (state.tried.len() >= max_attempts || !may_run_again) {
@@ -391,6 +420,7 @@
             return None;
         }
         pools.record_sent(now, choice.handle);
+        state.sent_at.get_or_insert(now);
         state.tried.push(choice.handle);
         state.tried_ids.push(choice.entry.instance.clone());
         state.in_flight += 1;
--- a/crates/policy/tests/queue_model/mod.rs
+++ b/crates/policy/tests/queue_model/mod.rs
@@ -434,6 +434,7 @@
                     false => goal,
                 };
                 let plan = Plan {
+                    route: format!("r{class}").into(),
                     pools: (0..scenario.pools).map(pool_name).collect(),
                     connection_limits: vec![66; scenario.pools],
                     min_replies,
--- a/crates/policy/tests/relay_load.rs
+++ b/crates/policy/tests/relay_load.rs
@@ -233,3 +233,51 @@
         print_row(&format!("{load} oracle"), &decision(Decision::Oracle));
     }
 }
+
+/// Returns the shares of the requests of a class that were answered in time, and refused.
+fn shares(outcome: &Outcome, class: usize) -> (f64, f64) {
+    let c = &outcome.classes[class];
+    (c.in_time as f64 / c.requests as f64, c.refused as f64 / c.requests as f64)
+}
+
+#[test]
+fn an_overload_costs_little_more_than_what_capacity_lacks() {
+    let check = |load: f64, gain: f64| {
+        let triage = simulate(&outage(of_capacity(load)), SEED);
+        let plain = Scenario { decision: Decision::Everything, ..outage(of_capacity(load)) };
+        let plain = simulate(&plain, SEED);
+        let value = |o: &Outcome| o.classes.iter().map(|c| c.value).sum::<f64>();
+        let requests = triage.classes.iter().map(|c| c.requests).sum::<usize>() as f64;
+        let gained = (value(&triage) - value(&plain)) / requests;
+        assert!(gained >= gain, "gain of {gained} at {load} of capacity");
+        triage
+    };
+    // Without a shortage almost nothing may be refused, whatever the pauses of upstreams.
+    let calm = check(0.7, -0.01);
+    assert!(shares(&calm, 0).1 <= 0.01 && shares(&calm, 1).1 <= 0.01, "{:?}", calm.classes);
+    let overload = check(1.7, 0.35);
+    // Short searches need a third of the work, so they are served first; long ones are not starved.
+    let ((long, _), (short, _)) = (shares(&overload, 0), shares(&overload, 1));
+    assert!(short >= 0.85 && long >= 0.3, "in time: short {short}, long {long}");
+}
+
+#[test]
+fn more_urgent_searches_are_served_first() {
+    let mut scenario = outage(of_capacity(1.7));
+    scenario.classes[1].rank = 1;
+    let outcome = simulate(&scenario, SEED);
+    let ((_, long), (_, short)) = (shares(&outcome, 0), shares(&outcome, 1));
+    assert!(long <= short, "refused: long {long}, short {short}");
+    let all = outcome.classes.iter().map(|c| c.requests - c.refused).sum::<usize>() as f64
+        / outcome.classes.iter().map(|c| c.requests).sum::<usize>() as f64;
+    assert!(1.0 - short >= all / 3.0, "admitted: short {}, all {all}", 1.0 - short);
+}
+
+#[test]
+fn searches_are_served_again_within_a_second_of_an_outage() {
+    for load in [1.25, 1.7] {
+        let outcome = simulate(&outage(of_capacity(load)), SEED);
+        let value = second_value(&outcome, OUTAGE.1);
+        assert!(value >= 0.95, "{value} after an outage at {load} of capacity");
+    }
+}
--- a/crates/policy/tests/relay_request.rs
+++ b/crates/policy/tests/relay_request.rs
@@ -81,6 +81,7 @@
         all.set_node_count(Some(1));
         all.sync(start, &registry);
         let request = RequestState::new(Plan {
+            route: "r".into(),
             pools: (0..pools).map(pool_name).collect(),
             connection_limits: vec![10; pools],
             min_replies,
--- a/crates/policy/tests/relay_urgency.rs
+++ b/crates/policy/tests/relay_urgency.rs
@@ -83,6 +83,7 @@
                 continue;
             }
             let mut state = RequestState::new(Plan {
+                route: "r".into(),
                 pools: (0..width).map(pool).collect(),
                 connection_limits: vec![100; width],
                 min_replies: width.div_ceil(2),
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -208,6 +208,7 @@
     let limit = |p: &id::Pool| table.connection_limits.get(p).copied().unwrap_or(usize::MAX);
     let connection_limits = pools.iter().map(limit).collect();
     Some(RequestState::new(Plan {
+        route: route.name.clone(),
         pools,
         connection_limits,
         min_replies,
--- a/crates/relay/src/limit_exchange.rs
+++ b/crates/relay/src/limit_exchange.rs
@@ -7,6 +7,7 @@
     relay::{
         demand::Exchange,
         pool::{Basis, Learned},
+        triage::Load,
     },
 };
 use rand::Rng;
@@ -14,6 +15,9 @@
 
 use crate::{log_limiter::LogKind, node::Node};
 
+/// Most pools named in a line on pools that are short of capacity.
+const MAX_LOGGED_POOLS: usize = 8;
+
 /// Updates this node's parts of the limits, and exchanges demand with a peer if it is time. To be
 /// called several times a second.
 pub(crate) fn tick(node: &Node) {
@@ -21,6 +25,7 @@
     let own = id::Node(node.settings.advertised_addr);
     let basis = node.pools.lock().update_limiters(now);
     record_basis(node, basis);
+    record_short_pools(node);
     // The random numbers are locked before the pools, as for requests.
     let request = node.with_rng(|rng| node.pools.lock().exchange(now, own, rng));
     let Some(request) = request else { return };
@@ -71,6 +76,36 @@
     }
 }
 
+/// Shows the pools that are short of capacity, and logs changes of their number.
+fn record_short_pools(node: &Node) {
+    let now = node.now();
+    let short: Vec<(id::Pool, Load)> = {
+        let pools = node.pools.lock();
+        pools.short_pools(now).map(|(pool, load)| (pool.clone(), load)).collect()
+    };
+    let before = node.metrics.short_pools.get();
+    if short.is_empty() && before == 0 {
+        return;
+    }
+    node.metrics.short_pool_load.reset();
+    for (pool, Load { demand, admitted }) in &short {
+        for (kind, value) in [("demand", demand), ("capacity", admitted)] {
+            node.metrics.short_pool_load.with_label_values(&[pool.as_str(), kind]).set(*value);
+        }
+    }
+    let count = short.len() as i64;
+    node.metrics.short_pools.set(count);
+    if count == before || !node.log_limiter.allows(now, LogKind::RoutingState) {
+        return;
+    }
+    let demand: f64 = short.iter().map(|(_, load)| load.demand).sum();
+    let capacity: f64 = short.iter().map(|(_, load)| load.admitted).sum();
+    let names: Vec<&str> = short.iter().take(MAX_LOGGED_POOLS).map(|(p, _)| p.as_str()).collect();
+    let (demand, capacity) = (format!("{demand:.2}"), format!("{capacity:.2}"));
+    let pools = names.join(" ");
+    tracing::info!(short = count, before, pools, demand, capacity, "pools short of capacity");
+}
+
 fn send(node: &Node, to: id::Node, message: &Exchange) {
     let Some(socket) = node.heartbeat_socket.load_full() else { return };
     match demand::encode(&node.settings.deployment, message) {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    Encoder, GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
     IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
@@ -61,6 +61,13 @@
     pub held_bytes: IntGauge,
     /// Open connections to upstreams.
     pub connections: IntGauge,
+    /// Requests refused because too many of their pools are short of capacity, by route.
+    pub refused_short: IntCounterVec,
+    /// Pools that are short of capacity.
+    pub short_pools: IntGauge,
+    /// Work that this node is asked for at pools that are short, as the number of requests that
+    /// would run concurrently, by pool and by kind.
+    pub short_pool_load: GaugeVec,
     /// Generation of the configuration in force.
     pub generation: IntGauge,
     /// Revision up to which this node knows the registry.
@@ -162,6 +169,16 @@
             requests_in_flight: gauge(&r, "serving", "Requests being served"),
             held_bytes: gauge(&r, "held_bytes", "Bytes of requests and replies held"),
             connections: gauge(&r, "connections", "Connections to upstreams"),
+            refused_short: {
+                let help = "Requests refused as too many of their pools are short of capacity";
+                counters(&r, "refused_short_total", help, &["route"])
+            },
+            short_pools: gauge(&r, "short_pools", "Pools that are short of capacity"),
+            short_pool_load: {
+                let help = "Work asked for at pools short of capacity, in concurrent requests";
+                let opts = Opts::new("balsamgate_short_pool_load", help);
+                register(&r, GaugeVec::new(opts, &["pool", "kind"]))
+            },
             generation: gauge(&r, "generation", "Generation of the configuration in force"),
             revision: gauge(&r, "revision", "Revision of the registry that is known"),
             era: gauge(&r, "era", "Era of the platform's change history that is known"),
--- a/crates/relay/src/request_log.rs
+++ b/crates/relay/src/request_log.rs
@@ -221,6 +221,7 @@
     draw: f64,
 ) {
     let reason = Reason::Overload;
+    node.metrics.refused_short.with_label_values(&[route.name.as_str()]).inc();
     node.metrics.requests.with_label_values(&["refused", &reason.to_string()]).inc();
     if node.log_limiter.allows(node.now(), LogKind::Refused) {
         let request = id_text(request_id);
