Triage learns the work of a class over time, not by reply

Cause: the learned work followed slower replies by a fixed weight for each.

Change: time constants of 1 s for faster and 4 s for slower replies.

Measured: relay_load::a_node_with_all_callers_takes_no_wait_for_work, a gain of at least 0.15.

--- a/crates/policy/src/relay/triage.rs
+++ b/crates/policy/src/relay/triage.rs
@@ -43,10 +43,11 @@
 const MIN_CLASS_SHARE: f64 = 0.36;
 /// Most classes of a pool that are told apart.
 const MAX_CLASSES: usize = 32;
-/// Weight of a faster reply in the learned work of a class.
-const FASTER_WEIGHT: f64 = 0.2;
-/// Weight of a slower reply while the pool is not short.
-const SLOWER_WEIGHT: f64 = 0.05;
+/// Time constant with which the learned work of a class follows faster replies.
+const FASTER_TIME: Duration = Duration::from_millis(1_000);
+/// Time constant with which it follows slower replies while the pool is not short. Longer than a
+/// shortage takes to be noticed; otherwise a busy node takes the waits for work.
+const SLOWER_TIME: Duration = Duration::from_millis(4_000);
 /// Work assumed for a class without replies.
 const DEFAULT_WORK: Duration = Duration::from_millis(8);
 /// Least rate of requests for which a class counts, in requests per second.
@@ -92,6 +93,8 @@
     demand: Meter,
     /// Typical time to a reply without a wait; `None` before the first reply.
     work: Option<Duration>,
+    /// When the last reply came.
+    learned: Instant,
     /// Share of the requests that is admitted, as of the last allocation.
     share: f64,
 }
@@ -164,12 +167,14 @@
         let is_short = self.is_short();
         let target = self.target_wait(now);
         let Some(state) = self.class_mut(now, class) else { return 0.0 };
+        let age = now.saturating_duration_since(state.learned).as_secs_f64();
+        state.learned = now;
         let work = state.work.map_or(latency, |work| {
             let weight = match latency < work {
-                true => FASTER_WEIGHT,
+                true => 1.0 - (-age / FASTER_TIME.as_secs_f64()).exp(),
                 // Its wait would be taken for work.
                 false if is_short => 0.0,
-                false => SLOWER_WEIGHT,
+                false => 1.0 - (-age / SLOWER_TIME.as_secs_f64()).exp(),
             };
             work.mul_f64(1.0 - weight) + latency.min(work * 2).mul_f64(weight)
         });
@@ -214,7 +219,13 @@
             Some(index) => index,
             None if self.classes.len() < MAX_CLASSES => {
                 let (class, demand) = (class.clone(), Meter::new(now));
-                self.classes.push(ClassState { class, demand, work: None, share: 1.0 });
+                self.classes.push(ClassState {
+                    class,
+                    demand,
+                    work: None,
+                    learned: now,
+                    share: 1.0,
+                });
                 self.classes.len() - 1
             }
             None => return None,
--- a/crates/policy/tests/relay_load.rs
+++ b/crates/policy/tests/relay_load.rs
@@ -226,6 +226,7 @@
         let decision = |decision| Scenario { decision, ..nodes.clone() };
         print_row(&format!("{load} nodes"), &nodes);
         print_row(&format!("{load} everything"), &decision(Decision::Everything));
+        print_row(&format!("{load} 60 nodes"), &Scenario { nodes: 60, ..nodes.clone() });
         print_row(&format!("{load} no hedges"), &Scenario { hedges: false, ..nodes.clone() });
         print_row(&format!("{load} no pauses"), &Scenario { pause: ms(0), ..nodes.clone() });
         print_row(&format!("{load} one node"), &Scenario { nodes: 1, ..nodes.clone() });
@@ -261,6 +262,14 @@
     assert!(short >= 0.85 && long >= 0.3, "in time: short {short}, long {long}");
 }
 
+#[test]
+fn a_node_with_all_callers_takes_no_wait_for_work() {
+    let alone = Scenario { nodes: 1, ..outage(of_capacity(1.25)) };
+    let triage = simulate(&alone, SEED);
+    let plain = simulate(&Scenario { decision: Decision::Everything, ..alone }, SEED);
+    assert!(triage.mean_value() >= plain.mean_value() + 0.15, "{triage:?} against {plain:?}");
+}
+
 #[test]
 fn more_urgent_searches_are_served_first() {
     let mut scenario = outage(of_capacity(1.7));
