--- a/crates/policy/src/relay/explain.rs
+++ b/crates/policy/src/relay/explain.rs
@@ -10,6 +10,7 @@
     limiter::Attempt,
     pool::Pools,
     route::{RouteTable, Target},
+    triage::Class,
 };
 
 /// A circumstance that excludes an upstream or adds to its cost.
@@ -168,11 +169,12 @@
             true => Attempt::Yielding,
             false => Attempt::First,
         };
+    let class = Class { route: route.name.clone(), rank: route.rank, goal: route.goal };
     let explained: Vec<PoolShare> = names
         .iter()
         .map(|name| {
             let attempt = attempt(pools, name);
-            pools.explain(now, name, attempt)
+            pools.explain(now, name, &class, attempt)
         })
         .collect();
     let is_usable = |p: &&PoolShare| p.upstreams.iter().any(|u| u.is_usable);
--- a/crates/policy/src/relay/pool/explain.rs
+++ b/crates/policy/src/relay/pool/explain.rs
@@ -9,14 +9,22 @@
     explain::{Candidate, PoolShare, Reason},
     limiter::Attempt,
     registry::Availability,
+    triage::Class,
     upstream::Upstream,
 };
 
 impl Pools {
     /// Returns the upstreams of `pool` in the order in which `attempt` would be sent to them, those
-    /// that get none last, and the share of requests that the pool admits. Changes no decision.
-    pub fn explain(&mut self, now: Instant, pool: &id::Pool, attempt: Attempt) -> PoolShare {
-        let share = self.pools.get_mut(pool).map_or(1.0, |p| p.admission.admitted_share(now));
+    /// that get none last, and the share of requests of `class` that the pool admits. Changes no
+    /// decision.
+    pub fn explain(
+        &mut self,
+        now: Instant,
+        pool: &id::Pool,
+        class: &Class,
+        attempt: Attempt,
+    ) -> PoolShare {
+        let share = self.pools.get_mut(pool).map_or(1.0, |p| p.triage.admitted_share(now, class));
         let handles = self.pools.get(pool).map_or(&[][..], |p| &p.handles);
         let upstreams = handles.iter().filter_map(|handle| self.upstreams.get(handle));
         let mut candidates: Vec<Candidate> =
--- a/crates/policy/tests/relay_cold.rs
+++ b/crates/policy/tests/relay_cold.rs
@@ -250,6 +250,7 @@
     // 1.3 a second each: with more, chance alone would exceed the bound of 8 in a second.
     assert!((36..=42).contains(&sent), "{sent} requests in 10 s, of three upstreams");
     let plan = Plan {
+        route: "search".into(),
         pools: vec![pool()],
         connection_limits: vec![66],
         min_replies: 1,
--- a/crates/policy/tests/relay_home_regions.rs
+++ b/crates/policy/tests/relay_home_regions.rs
@@ -74,6 +74,7 @@
 
     fn request(&self, homes: &[&str]) -> RequestState {
         let plan = Plan {
+            route: "search".into(),
             pools: vec!["p".parse().expect("name")],
             connection_limits: vec![10],
             min_replies: 1,
