--- a/crates/policy/tests/relay_explain.rs
+++ b/crates/policy/tests/relay_explain.rs
@@ -11,7 +11,6 @@
     unit::{Generation, Rate, Revision},
 };
 use policy::relay::{
-    admission::Sample,
     explain::{Explanation, Reason, explain},
     limiter::Attempt,
     notice::Limit,
@@ -19,6 +18,7 @@
     registry::{Change, Entry, Event, Registry},
     retry_budget::RetryBound,
     route::{RequestLimits, Route, RouteTable, Target},
+    triage::{Class, Sample},
     upstream::AttemptEnd,
 };
 use rand::SeedableRng;
@@ -140,8 +140,11 @@
 fn the_admitted_share_is_that_of_the_pools_that_are_needed() {
     for (min_replies, expected) in [(1, 1.0), (2, 0.05)] {
         let mut case = Case::new(min_replies);
+        let class = Class { route: "search".into(), rank: 1, goal: Duration::from_millis(120) };
         for _ in 0..50 {
-            case.pools.record_sample(case.now, &pool("q"), Sample::Failed);
+            // A sample counts for the time since the one before it.
+            case.now += Duration::from_millis(100);
+            case.pools.record_sample(case.now, &pool("q"), &class, Sample::Missed);
         }
         assert_eq!(case.explain().admitted_share, expected, "{min_replies}");
     }
--- a/crates/policy/tests/relay_startup.rs
+++ b/crates/policy/tests/relay_startup.rs
@@ -43,6 +43,7 @@
 fn is_sent(now: Instant, pools: &mut Pools, draw: f64) -> bool {
     let mut rng = ChaCha8Rng::seed_from_u64(1);
     let mut request = RequestState::new(Plan {
+        route: "search".into(),
         pools: (0..POOLS).map(pool).collect(),
         connection_limits: vec![10; POOLS as usize],
         min_replies: POOLS as usize,
