--- a/crates/balsamgate/tests/evacuation.rs
+++ b/crates/balsamgate/tests/evacuation.rs
@@ -44,7 +44,7 @@
     }
 
     fn evacuate(&self, zone: &str) {
-        self.store.put(&format!("op/evacuate/{zone}"), b"{}");
+        self.store.evacuate(zone);
     }
 
     fn arrivals(&self, zone: &str) -> usize {
@@ -107,7 +107,7 @@
     let (arrived, answers) = testbed.observe("a").await;
     assert_eq!(arrived, 0, "requests in an evacuated failure domain");
     assert!(answers.iter().all(is_served), "the others have room");
-    testbed.store.remove("op/evacuate/a");
+    testbed.store.end_evacuation("a");
     testbed.eventually_used("a").await;
 }
 
@@ -163,6 +163,6 @@
     testbed.evacuate("a");
     testbed.send_for(BOUND).await;
     assert_eq!(testbed.observe("a").await.0, 0, "it is written again");
-    testbed.store.remove("op/evacuate/a");
+    testbed.store.end_evacuation("a");
     testbed.eventually_used("a").await;
 }
