Log lines tell why relayed requests fail and what a refusing node believes

Relayed requests that a peer refuses as not run count and are logged as `refused` rather than `failed`; refusals carry `links`, the belief of the node; a suspicion says how long ago the last reply came.

--- a/crates/relay/src/isolation.rs
+++ b/crates/relay/src/isolation.rs
@@ -12,7 +12,7 @@
 
 use base::{hash::FastMap, id};
 use bytes::Bytes;
-use http::{Request, Response, request};
+use http::{Request, Response, StatusCode, request};
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -60,6 +60,15 @@
 pub(crate) struct SharedBelief(AtomicU8);
 
 impl SharedBelief {
+    /// Returns the value of the log field `links`.
+    pub(crate) fn name(&self) -> &'static str {
+        match self.get() {
+            Belief::Connected => "connected",
+            Belief::Suspected => "suspected",
+            Belief::Isolated => "isolated",
+        }
+    }
+
     pub(crate) fn get(&self) -> Belief {
         match self.0.load(Ordering::Relaxed) {
             0 => Belief::Connected,
@@ -185,7 +194,7 @@
     node.belief.set(belief);
     node.metrics.isolated.set(i64::from(belief == Belief::Isolated));
     if let Some(change) = change {
-        log(node, change);
+        log(node, change, seen.last_reply);
         *next_probes = now;
     }
     node.relay_connections.close_expired(now);
@@ -196,13 +205,19 @@
     }
 }
 
-fn log(node: &Node, change: Change) {
-    if !node.log_limiter.allows(node.now(), LogKind::RoutingState) {
+fn log(node: &Node, change: Change, last_reply: Option<Instant>) {
+    let now = node.now();
+    if !node.log_limiter.allows(now, LogKind::RoutingState) {
         return;
     }
     match change {
         Change::Suspected => {
-            tracing::warn!("no upstream replies or accepts connections; peers are asked");
+            let last_reply_ms =
+                last_reply.map(|at| now.saturating_duration_since(at).as_millis() as u64);
+            tracing::warn!(
+                last_reply_ms,
+                "no upstream replies or accepts connections; peers are asked"
+            );
         }
         Change::Cleared => tracing::info!("upstreams reply or accept connections again"),
         Change::Outage => {
@@ -313,9 +328,14 @@
                 continue;
             }
             Ok((response, reservation)) => {
-                let success = response.status().is_success();
-                let result = if success { "answered" } else { "failed" };
-                (result, forward::relay_response(response.map(|body| reservation.hold(body))))
+                let (head, body) = response.into_parts();
+                let result = match head.status.is_success() {
+                    true => "answered",
+                    false if is_refusal(node, metadata, &head) => "refused",
+                    false => "failed",
+                };
+                let response = Response::from_parts(head, reservation.hold(body));
+                (result, forward::relay_response(response))
             }
             Err(Failure::Lost(cause)) => {
                 record(node, metadata, peer, "lost", Some(&cause));
@@ -337,6 +357,12 @@
     None
 }
 
+/// Returns whether `head` is that of a peer's own answer, which says that the request has not run.
+fn is_refusal(node: &Node, metadata: &RequestMetadata, head: &http::response::Parts) -> bool {
+    let signature = node.codec.read_reply(&metadata.request_id, head).signature;
+    head.status == StatusCode::SERVICE_UNAVAILABLE && signature.is_none()
+}
+
 /// Counts and logs the `result` of relaying a request to `peer`.
 fn record(
     node: &Node,
--- a/crates/relay/src/request_log.rs
+++ b/crates/relay/src/request_log.rs
@@ -197,7 +197,11 @@
         let request = parse_id(node, head);
         let generation = node.generation();
         let word_age_ms = node.platform_data_age().map(|age| age.as_millis() as u64);
-        tracing::warn!(request, %reason, %generation, word_age_ms, "request refused, not run");
+        let links = node.belief.name();
+        tracing::warn!(
+            request, %reason, links, %generation, word_age_ms,
+            "request refused, not run"
+        );
     }
 }
 
@@ -230,8 +234,9 @@
             (short.join(" "), state.plan().min_replies, state.plan().pools.len());
         let route = route.name.as_str();
         let draw = format!("{draw:.2}");
+        let links = node.belief.name();
         tracing::warn!(
-            request, route, %reason, short, draw, floor, pools,
+            request, route, %reason, links, short, draw, floor, pools,
             "request refused, not run: too many of its pools are short of capacity"
         );
     }
