--- a/crates/balsamgate/tests/fleet/mod.rs
+++ b/crates/balsamgate/tests/fleet/mod.rs
@@ -193,7 +193,8 @@
 
     /// Like [`Fleet::start`], with links between the nodes that [`Fleet::set_cut`] cuts.
     pub(crate) fn start_linked(count: u8, store: SocketAddr) -> Fleet {
-        Fleet::start_nodes(Path::new(PROGRAM), count, store, "rate = 20", "", (false, true))
+        let program = Path::new(PROGRAM);
+        Fleet::start_nodes(program, &equal(count), store, "rate = 20", "", (false, true))
     }
 
     /// Like [`Fleet::start_with`], with nodes of `program` and the lines `log` in the `[log]`
@@ -205,20 +206,22 @@
         log: &str,
         unread_stdout: bool,
     ) -> Fleet {
-        Fleet::start_nodes(&program, count, store, log, "", (unread_stdout, false))
+        Fleet::start_nodes(&program, &equal(count), store, log, "", (unread_stdout, false))
     }
 
-    /// Starts nodes with the lines `bounds` in the `[bounds]` section. If they are `linked`, the
-    /// addresses that they advertise are those of links.
+    /// Starts one node for each of `cores`, the processor capacity of its VM, with the lines `bounds` in
+    /// the `[bounds]` section. If they are `linked`, the addresses that they advertise are those of
+    /// links.
     fn start_nodes(
         program: &Path,
-        count: u8,
+        cores: &[f64],
         store: SocketAddr,
         log: &str,
         bounds: &str,
         (unread_stdout, linked): (bool, bool),
     ) -> Fleet {
         static NEXT: AtomicU32 = AtomicU32::new(0);
+        let count = u8::try_from(cores.len()).expect("a subnet has room for them");
         let number = NEXT.fetch_add(1, Ordering::Relaxed);
         let process = std::process::id();
         let directory = std::env::temp_dir().join(format!("balsamgate-{process}-{number}"));
@@ -240,13 +243,14 @@
                 None => String::new(),
             };
             let text = format!(
-                "[node]\ndeployment = test\nfailure_domain = {zone}\n\
+                "[node]\ndeployment = test\nfailure_domain = {zone}\ncores = {}\n\
                  [listen]\ncallers = {ip}:7101\nready = {ip}:7102\ndirectory = {ip}:7103\n\
                  peers = {ip}:{peer_port}\nmetrics = {ip}:7105\n\
                  [fleet]\nseeds = {}\n{advertise}[platform]\naddress = {store}\n\
                  [bounds]\n{bounds}apply = 3 s\ndrain = {} ms\ngrace = {} ms\n\
                  [extra]\nratio = 0.2\nslack = 100\n[limits]\nbuffer = 1048576\n\
                  [log]\n{log}\n",
+                cores[usize::from(n)],
                 seeds.join(","),
                 DRAIN.as_millis(),
                 GRACE.as_millis(),
@@ -263,9 +267,9 @@
 
     /// Like [`Fleet::start`], with nodes that relay requests through each other while they are cut
     /// off from the upstreams.
-    pub(crate) fn start_relaying(count: u8, store: SocketAddr) -> Fleet {
+    pub(crate) fn start_relaying(cores: &[f64], store: SocketAddr) -> Fleet {
         let program = Path::new(PROGRAM);
-        Fleet::start_nodes(program, count, store, "rate = 20", "contact = 5 s\n", (false, false))
+        Fleet::start_nodes(program, cores, store, "rate = 20", "contact = 5 s\n", (false, false))
     }
 
     /// Waits until all nodes report that they are ready.
@@ -291,6 +295,11 @@
     }
 }
 
+/// Returns the processor capacity of `count` equal VMs, in cores.
+fn equal(count: u8) -> Vec<f64> {
+    vec![1.0; count.into()]
+}
+
 /// Polls `check` until it holds; panics after [`WAIT_LIMIT`].
 pub(crate) async fn eventually(condition: &str, check: impl AsyncFn() -> bool) {
     let start = std::time::Instant::now();
--- a/crates/balsamgate/tests/isolation.rs
+++ b/crates/balsamgate/tests/isolation.rs
@@ -51,6 +51,15 @@
 
 impl Testbed {
     async fn start(nodes: u8) -> Testbed {
+        let testbed = Testbed::start_with(&vec![1.0; nodes.into()]).await;
+        for node in 0..nodes.into() {
+            testbed.wait_listed(node, true).await;
+        }
+        testbed
+    }
+
+    /// Starts one node for each of `cores`, the processor capacity of its VM.
+    async fn start_with(cores: &[f64]) -> Testbed {
         let cancel = CancellationToken::new();
         let store = Store::start(cancel.clone()).await.expect("a store");
         store.put(CONFIG_KEY, config(1, POOLS).to_json().as_bytes());
@@ -65,14 +74,10 @@
                 upstreams.push(upstream);
             }
         }
-        let mut fleet = Fleet::start_relaying(nodes, store.address());
+        let mut fleet = Fleet::start_relaying(cores, store.address());
         fleet.ready().await;
         links.set_processes(fleet.nodes.iter().filter_map(|n| n.id()));
-        let testbed = Testbed { fleet, links, upstreams, next_id: Arc::default(), cancel };
-        for node in 0..nodes.into() {
-            testbed.wait_listed(node, true).await;
-        }
-        testbed
+        Testbed { fleet, links, upstreams, next_id: Arc::default(), cancel }
     }
 
     fn cut(&self, nodes: &[usize], cut: Option<Cut>) {
@@ -117,9 +122,13 @@
 
     /// Starts callers of `node`.
     fn load(&self, node: usize) -> Callers {
+        self.load_by(node, CALLERS)
+    }
+
+    fn load_by(&self, node: usize, callers: usize) -> Callers {
         let load = Load::default();
         let address = self.fleet.nodes[node].callers();
-        for _ in 0..CALLERS {
+        for _ in 0..callers {
             let (load, next_id) = (load.clone(), self.next_id.clone());
             tokio::spawn(async move {
                 let mut connection = None;
@@ -152,11 +161,8 @@
         let early = loads.iter().map(|l| l.0.counts()).collect::<Vec<_>>();
         loads.iter().for_each(|l| l.0.restart());
         tokio::time::sleep(LOAD).await;
-        for (load, early) in loads.iter().zip(early) {
-            let (sent, failed) = load.0.counts();
-            println!("{failed} of {sent} failed; before, (sent, failed) {early:?}");
-            assert!(sent > 50 && failed <= 10 + sent / 50, "{failed} of {sent} failed");
-        }
+        println!("before, (sent, failed) {early:?}");
+        loads.iter().for_each(|load| assert_served([load.0.counts()]));
     }
 
     /// Cuts off `nodes`, checks the service of their callers, and ends the cut.
@@ -216,6 +222,15 @@
     }
 }
 
+/// Checks the bound on first tries that fail, over the numbers of those sent and failed.
+fn assert_served(counts: impl IntoIterator<Item = (usize, usize)>) {
+    let counts: Vec<(usize, usize)> = counts.into_iter().collect();
+    let sent: usize = counts.iter().map(|(sent, _)| sent).sum();
+    let failed: usize = counts.iter().map(|(_, failed)| failed).sum();
+    println!("{failed} of {sent} failed; (sent, failed) {counts:?}");
+    assert!(sent > 50 && failed <= 10 + sent / 50, "{failed} of {sent} failed");
+}
+
 fn request(path: &str, id: &str) -> CallerRequest {
     CallerRequest {
         host: HOST.to_owned(),
@@ -278,6 +293,50 @@
     testbed.check(&[0, 3], Cut::Reset).await;
 }
 
+/// Guards against nodes that ask peers that are cut off too, and take their failures for an outage.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_of_nine_nodes_of_ten_that_are_cut_off_are_served_by_the_tenth() {
+    let testbed = Testbed::start(10).await;
+    let cut_off: Vec<usize> = (0..9).collect();
+    let loads: Vec<Callers> = cut_off.iter().map(|n| testbed.load_by(*n, 1)).collect();
+    testbed.cut(&cut_off, Some(Cut::Hang));
+    tokio::time::sleep(CONTACT).await;
+    loads.iter().for_each(|l| l.0.restart());
+    tokio::time::sleep(LOAD).await;
+    assert_served(loads.iter().map(|l| l.0.counts()));
+}
+
+/// Guards against idle nodes that nobody asks, although they are the only ones that reach upstreams.
+#[tokio::test(flavor = "multi_thread")]
+async fn weak_idle_nodes_serve_while_all_strong_ones_are_cut_off() {
+    let testbed = Testbed::start_with(&[4.0, 4.0, 0.5, 0.5, 0.5, 0.5, 0.5, 0.5]).await;
+    for strong in [0, 1] {
+        testbed.wait_listed(strong, true).await;
+    }
+    testbed.wait_listed(7, false).await;
+    let loads = [0, 1].map(|strong| testbed.load(strong));
+    testbed.cut(&[0, 1, 2, 3, 4, 5], Some(Cut::Hang));
+    tokio::time::sleep(CONTACT).await;
+    loads.iter().for_each(|l| l.0.restart());
+    let start = tokio::time::Instant::now();
+    let mut looked_up = (0, 0);
+    while start.elapsed() < LOAD {
+        for node in &testbed.fleet.nodes {
+            let named = lookup_nodes(node.directory(), "elsewhere").await;
+            let named = named.and_then(|(nodes, _)| nodes.first().copied());
+            let id = format!("looked-up-{}", looked_up.0);
+            let answer = match named {
+                Some(address) => send(address, "/search/x", &id).await,
+                None => None,
+            };
+            looked_up.0 += 1;
+            looked_up.1 += usize::from(answer.is_none_or(|a| a.status != 200));
+        }
+    }
+    assert_served([looked_up]);
+    assert_served(loads.iter().map(|l| l.0.counts()));
+}
+
 /// Guards against nodes that leave in an outage of the upstreams, or at its end.
 #[tokio::test(flavor = "multi_thread")]
 async fn no_node_leaves_in_an_outage_of_all_upstreams() {
