Nodes ask each other who reaches upstreams

Cause: who reaches upstreams was found out by each node from its callers' requests, by relaying them to peers chosen by capacity. The peers were cut off too: 391 of 709 relayed requests were refused by them, 611 of 687 with all strong nodes cut off. Three such failures were taken for an outage, idle nodes learned nothing before their first request, and connected weak nodes were asked by nobody.

Now a node that suspects a cut asks peers by datagram whether they have had contact with upstreams since; an idle peer checks its links first. Requests are relayed to nodes known to reach upstreams, on to the next one if a peer refuses as not run; isolation and outage follow from several peers' words; and address lists name nodes that reach upstreams, by their capacity.

Two tests change: requests are no longer shared blindly while isolation is suspected, so the test of the shares now checks all three cases (no peer known, peers known, links that accept connections); Candidate has its node.

--- a/crates/config/src/relay.rs
+++ b/crates/config/src/relay.rs
@@ -117,6 +117,12 @@
 }
 
 impl Settings {
+    /// Returns whether nodes of this deployment relay requests through each other while they are cut
+    /// off from the upstreams.
+    pub fn relays_through_peers(&self) -> bool {
+        self.contact_limit.is_some()
+    }
+
     /// Parses settings from INI `text`; `name` is the file's name, for errors.
     pub fn parse(name: &str, text: &str) -> Result<Settings, Errors> {
         let mut file = File::parse(name, text)?;
--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -18,6 +18,7 @@
 pub mod node_selection;
 pub mod notice;
 pub mod pool;
+pub mod reachability;
 pub mod region;
 pub mod registry;
 pub mod request;
--- a/crates/policy/src/relay/isolation.rs
+++ b/crates/policy/src/relay/isolation.rs
@@ -1,9 +1,9 @@
 //! Whether this node is cut off from all upstreams, while its callers and other nodes reach it.
 //!
 //! A node cannot tell from its own attempts whether it is cut off or all upstreams are down. It
-//! therefore first suspects isolation, relays a part of its callers' requests through peers, and
-//! concludes from their answers: isolation is confirmed if a peer gets answers from upstreams and
-//! later attempts of this node still fail; if peers fail too, it is an outage.
+//! therefore first suspects isolation, and asks peers whether they reach upstreams: isolation is
+//! confirmed if peers have contact with upstreams and later attempts of this node still fail; if no
+//! peer has, it is an outage.
 
 use std::time::{Duration, Instant};
 
@@ -12,6 +12,8 @@
     id,
 };
 
+use super::reachability::{Contact, Links};
+
 /// Interval between two calls of [`Isolation::tick`].
 pub const TICK_INTERVAL: Duration = Duration::from_millis(50);
 /// Time without any reply, or without any accepted connection, from which isolation is suspected:
@@ -51,10 +53,9 @@
 const MAX_RELAPSES: u32 = 4;
 /// Maximum number of upstreams with evidence that are retained.
 const MAX_EVIDENCE: usize = 256;
-/// One in this many requests is still served by the node itself after a peer has served one.
-const OWN_SHARE_AFTER_SUCCESS: u32 = 4;
-/// The same before.
-const OWN_SHARE: u32 = 2;
+/// One in this many requests is still served by the node itself while isolation is suspected, peers
+/// reach upstreams, and upstreams accept connections of this node.
+const OWN_SHARE: u32 = 4;
 
 /// What a node believes of its links to the upstreams.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -103,6 +104,10 @@
     pub overdue: Vec<(id::Upstream, Instant)>,
     /// Upstreams that have replied since [`Isolation::suspected_since`].
     pub replied: Vec<id::Upstream>,
+    /// Contacts that several peers have had with upstreams.
+    pub peers: Contact,
+    /// Whether peers have denied contact with upstreams since then, and none is known to have it.
+    pub peers_deny: bool,
 }
 
 /// An attempt, or an attempt to connect, that failed.
@@ -119,7 +124,7 @@
     silent: bool,
     /// Whether upstreams do not accept connections.
     refused: bool,
-    /// When a peer first answered from upstreams.
+    /// When peers were first known to have had contact with upstreams.
     peer_success: Option<Instant>,
     peer_failures: usize,
 }
@@ -157,6 +162,8 @@
     /// When each upstream last accepted a connection.
     accepted: FastMap<id::Upstream, Instant>,
     last_accepted: Option<Instant>,
+    /// When an attempt last ended without a reply.
+    last_loss: Option<Instant>,
     /// When the first attempt was sent that failed since the last reply.
     silent_since: Option<Instant>,
     /// When the first connection was opened that failed since one was accepted.
@@ -168,6 +175,8 @@
     silence_quiet_until: Instant,
     /// Time until which refused connections cause no suspicion.
     refusal_quiet_until: Instant,
+    /// When an outage was last concluded, unless peers have had contact since.
+    outage_at: Option<Instant>,
     recovered_at: Option<Instant>,
     relapses: u32,
     requests: u32,
@@ -182,12 +191,14 @@
             refused: FastMap::default(),
             accepted: FastMap::default(),
             last_accepted: None,
+            last_loss: None,
             silent_since: None,
             refused_since: None,
             last_tick: now,
             valid_since: now,
             silence_quiet_until: now,
             refusal_quiet_until: now,
+            outage_at: None,
             recovered_at: None,
             relapses: 0,
             requests: 0,
@@ -203,6 +214,23 @@
         }
     }
 
+    /// Returns what the node believes, as peers are told.
+    pub fn links(&self) -> Links {
+        match self.state {
+            State::Connected => Links::Connected,
+            State::Suspected(suspicion) => Links::Suspected(suspicion.since),
+            State::Isolated { .. } => Links::Cut,
+        }
+    }
+
+    /// Returns when this node last had contact with upstreams, of which the last reply came at
+    /// `last_reply`. Accepted connections do not count after a lost attempt: links may accept
+    /// connections and carry nothing.
+    pub fn contact(&self, last_reply: Option<Instant>) -> Contact {
+        let is_trusted = self.last_loss <= last_reply;
+        Contact { replied: last_reply, accepted: self.last_accepted.filter(|_| is_trusted) }
+    }
+
     /// Returns since when isolation has been suspected; `None` if it is not, or if it is confirmed.
     pub fn suspected_since(&self) -> Option<Instant> {
         match self.state {
@@ -218,6 +246,7 @@
 
     /// Records that the attempt that was sent to `upstream` at `sent` ended without a reply.
     pub fn record_loss(&mut self, now: Instant, upstream: id::Upstream, sent: Instant) {
+        self.last_loss = Some(now);
         record(&mut self.lost, upstream, Failure { began: sent, ended: now });
     }
 
@@ -241,20 +270,24 @@
         record(&mut self.refused, upstream, Failure { began, ended: now });
     }
 
-    /// Returns who is to serve the next request of a caller.
-    pub fn next_server(&mut self) -> Server {
-        let own_share = match &mut self.state {
-            State::Connected => return Server::Own,
+    /// Returns who is to serve the next request of a caller. `peers` tells whether any peer is known
+    /// to reach upstreams.
+    pub fn next_server(&mut self, peers: bool) -> Server {
+        let last_accepted = self.last_accepted;
+        match &mut self.state {
+            State::Connected => Server::Own,
             State::Isolated { trial_due, .. } => match std::mem::take(trial_due) {
-                true => return Server::Own,
-                false => return Server::Peer,
+                true => Server::Own,
+                false => Server::Peer,
             },
-            State::Suspected(Suspicion { peer_success: None, .. }) => OWN_SHARE,
-            State::Suspected(_) => OWN_SHARE_AFTER_SUCCESS,
-        };
-        // Attempts of the node itself go on, as a suspicion ends with their replies.
-        self.requests = self.requests.wrapping_add(1);
-        if self.requests.is_multiple_of(own_share) { Server::Own } else { Server::Peer }
+            State::Suspected(_) if !peers => Server::Own,
+            State::Suspected(s) if last_accepted.is_none_or(|at| at < s.since) => Server::Peer,
+            State::Suspected(_) => {
+                // Only requests show whether links that accept connections carry replies.
+                self.requests = self.requests.wrapping_add(1);
+                if self.requests.is_multiple_of(OWN_SHARE) { Server::Own } else { Server::Peer }
+            }
+        }
     }
 
     /// Records whether a peer has served a request from upstreams.
@@ -285,6 +318,11 @@
 
     /// Draws the conclusions that are due. Returns the change of belief, if there is one.
     pub fn tick(&mut self, now: Instant, seen: &Observation) -> Option<Change> {
+        if self.outage_at.is_some_and(|at| seen.peers.latest() > Some(at)) {
+            // Peers reach upstreams, so that silence is no longer due to the outage.
+            self.outage_at = None;
+            self.silence_quiet_until = now;
+        }
         let last_tick = std::mem::replace(&mut self.last_tick, now);
         if now.saturating_duration_since(last_tick) >= SUSPENSION {
             return self.forget(now);
@@ -411,6 +449,16 @@
             self.state = State::Connected;
             return Some(Change::Cleared);
         }
+        let witnessed = match suspicion.silent {
+            true if !has_accepted => seen.peers.latest(),
+            // Upstreams that accept connections and do not reply may do so at peers, too.
+            true => seen.peers.replied,
+            false => seen.peers.accepted,
+        };
+        if let Some(at) = witnessed.filter(|at| *at >= since) {
+            suspicion.peer_success.get_or_insert(at);
+            self.state = State::Suspected(suspicion);
+        }
         if let Some(success) = suspicion.peer_success {
             let enough = CONCLUSIVE_UPSTREAMS.min(seen.known);
             // Attempts from before the peer's success may have met an outage that is over.
@@ -431,11 +479,12 @@
                 self.state = ISOLATED;
                 return Some(Change::Isolated);
             }
-        } else if suspicion.peer_failures >= OUTAGE_FAILURES {
+        } else if suspicion.peer_failures >= OUTAGE_FAILURES || seen.peers_deny {
             self.lost.clear();
             self.refused.clear();
             self.silence_quiet_until = now + QUIET;
             self.refusal_quiet_until = now + QUIET;
+            self.outage_at = Some(now);
             self.state = State::Connected;
             return Some(Change::Outage);
         }
--- a/crates/policy/src/relay/node_selection.rs
+++ b/crates/policy/src/relay/node_selection.rs
@@ -14,6 +14,8 @@
 /// A node that serves callers.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Candidate {
+    /// The node.
+    pub node: id::Node,
     /// Address on which it serves callers.
     pub address: SocketAddr,
     /// Its failure domain.
--- a/crates/policy/tests/relay_home_regions.rs
+++ b/crates/policy/tests/relay_home_regions.rs
@@ -142,6 +142,7 @@
 #[test]
 fn callers_are_sent_to_nodes_in_home_regions_or_their_own() {
     let node = |domain: &str, n: u8| Candidate {
+        node: id::Node(([10, 0, 0, n], 81).into()),
         address: ([10, 0, 0, n], 80).into(),
         domain: domain.parse().expect("name"),
         capacity: 170,
--- a/crates/relay/src/isolation.rs
+++ b/crates/relay/src/isolation.rs
@@ -22,11 +22,12 @@
     relay::{
         isolation::{Belief, Change, OVERDUE, Observation, PROBE_INTERVAL, PROBES, Server},
         isolation::{SILENCE, TICK_INTERVAL},
-        node_selection, retry_after,
+        reachability::Destination,
+        retry_after,
         upstream::AttemptEnd,
     },
 };
-use rand::seq::{IteratorRandom, SliceRandom};
+use rand::seq::{IndexedRandom, IteratorRandom};
 use tokio_util::sync::CancellationToken;
 
 use crate::{
@@ -35,7 +36,7 @@
     log_limiter::LogKind,
     memory::Reservation,
     node::Node,
-    request_log,
+    reachability, request_log,
     response::{self, Body},
     socket,
 };
@@ -141,7 +142,7 @@
 
 /// Returns whether nodes of this deployment relay requests through each other.
 fn is_enabled(node: &Node) -> bool {
-    node.settings.contact_limit.is_some()
+    node.settings.relays_through_peers()
 }
 
 /// Records the end of an attempt that was sent to `upstream` at `sent`.
@@ -187,9 +188,9 @@
 fn tick(node: &Arc<Node>, next_probes: &mut Instant) {
     let now = node.now();
     let seen = observe(node, now);
-    let (change, belief) = {
+    let (change, belief, links) = {
         let mut isolation = node.isolation.lock();
-        (isolation.tick(now, &seen), isolation.belief())
+        (isolation.tick(now, &seen), isolation.belief(), isolation.links())
     };
     node.belief.set(belief);
     node.metrics.isolated.set(i64::from(belief == Belief::Isolated));
@@ -198,7 +199,8 @@
         *next_probes = now;
     }
     node.relay_connections.close_expired(now);
-    if belief != Belief::Connected && now >= *next_probes {
+    let needs_check = reachability::tick(node, now, links);
+    if (needs_check || belief != Belief::Connected) && now >= *next_probes {
         // Jittered, so that nodes that were cut off together do not return at the same moment.
         *next_probes = now + PROBE_INTERVAL.mul_f64(0.6 + 0.8 * node.chance());
         probe(node);
@@ -238,14 +240,20 @@
         let isolation = node.isolation.lock();
         (isolation.suspected_since(), isolation.has_evidence(), isolation.belief())
     };
+    let (peers, peers_deny) = {
+        let reachability = node.reachability.lock();
+        let living = reachability::living_count(node);
+        let denied = |since| reachability.is_outage(since, living);
+        (reachability.witnessed(), since.is_some_and(denied))
+    };
     let pools = node.pools.lock();
     let is_silent = last_reply.is_none_or(|at| now.saturating_duration_since(at) >= SILENCE);
     let is_waiting = node.in_flight.load(Ordering::Relaxed) > 0
         || node.detached_requests.available_permits() < node.settings.max_requests;
     if belief == Belief::Connected && !(is_silent && (is_waiting || has_evidence)) {
-        return Observation { last_reply, known: pools.len(), ..Observation::default() };
+        return Observation { last_reply, known: pools.len(), peers, ..Observation::default() };
     }
-    let mut seen = Observation { last_reply, ..Observation::default() };
+    let mut seen = Observation { last_reply, peers, peers_deny, ..Observation::default() };
     let latest = now.checked_sub(OVERDUE);
     for (_, upstream) in pools.upstreams() {
         seen.known += usize::from(!pools.is_evacuated(&upstream.entry.domain));
@@ -308,23 +316,27 @@
     if belief == Belief::Connected {
         return None;
     }
-    if metadata.relayed {
-        if belief == Belief::Suspected {
-            return None;
-        }
+    let refuse = || {
         request_log::refused(node, head, Reason::Unreachable);
         let delay = retry_after::jittered(retry_after::delay(Reason::Unreachable), node.chance());
-        return Some(response::failure(Fate::NotRun, Reason::Unreachable, Some(delay)));
+        Some(response::failure(Fate::NotRun, Reason::Unreachable, Some(delay)))
+    };
+    if metadata.relayed {
+        // The sender can still ask a peer that reaches upstreams.
+        return refuse();
     }
-    if node.isolation.lock().next_server() == Server::Own {
+    let began = node.now();
+    let peers = peers(node, began);
+    if node.isolation.lock().next_server(!peers.is_empty()) == Server::Own {
         return None;
     }
-    let began = node.now();
-    for peer in peers(node) {
+    let mut refusal = None;
+    for Destination { node: id, address: peer, .. } in peers {
         let relayed = relay(node, peer, head, body, deadline).await;
         let (result, response) = match relayed {
             Err(Failure::NotSent(cause)) => {
                 record(node, metadata, peer, "unreachable", Some(&cause));
+                node.reachability.lock().record_failure(node.now(), id);
                 continue;
             }
             Ok((response, reservation)) => {
@@ -349,12 +361,24 @@
             record(node, metadata, peer, result, None);
         }
         let now = node.now();
+        match result {
+            "answered" => node.reachability.lock().record_success(now, id),
+            _ => node.reachability.lock().record_failure(now, id),
+        }
+        if result == "refused" {
+            refusal = Some(response);
+            continue;
+        }
         node.isolation.lock().record_peer(now, result == "answered");
         let elapsed = now.saturating_duration_since(began);
         node.metrics.record_answer("relayed", result, elapsed);
         return Some(response);
     }
-    None
+    match (refusal, belief) {
+        (Some(refusal), _) => Some(refusal),
+        (None, Belief::Isolated) => refuse(),
+        (None, _) => None,
+    }
 }
 
 /// Returns whether `head` is that of a peer's own answer, which says that the request has not run.
@@ -379,16 +403,16 @@
     }
 }
 
-/// Returns a few peers that serve callers, in random order. Those in other failure domains come
-/// first: what cuts a node off often cuts off its whole domain.
-fn peers(node: &Node) -> Vec<SocketAddr> {
+/// Returns a few peers that reach upstreams, in random order.
+fn peers(node: &Node, now: Instant) -> Vec<Destination> {
     let directory = node.directory.load();
-    let own = &node.settings;
-    let mut peers = node_selection::preferred_nodes(&directory.candidates);
-    peers.retain(|c| c.address != own.caller_addr);
-    node.with_rng(|rng| peers.shuffle(rng));
-    peers.sort_by_key(|c| c.domain == own.domain);
-    peers.iter().take(MAX_PEERS).map(|c| c.address).collect()
+    let peers = reachability::servers(node, now, &directory.candidates);
+    let chosen = node.with_rng(|rng| {
+        let chosen = peers.choose_multiple_weighted(rng, MAX_PEERS, |server| server.weight);
+        chosen.map(|chosen| chosen.cloned().collect())
+    });
+    // Fails only if a weight is not a number.
+    chosen.unwrap_or_default()
 }
 
 /// Sends the request to `peer` once and returns its answer.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -23,6 +23,7 @@
 mod notice;
 pub mod peer;
 pub mod platform_watch;
+mod reachability;
 mod request_log;
 pub mod response;
 pub mod socket;
--- a/crates/relay/src/membership.rs
+++ b/crates/relay/src/membership.rs
@@ -24,7 +24,7 @@
 use smol_str::SmolStr;
 use tokio::net::UdpSocket;
 use tokio_util::sync::CancellationToken;
-use wire::{demand, heartbeat};
+use wire::{demand, heartbeat, reachability};
 
 use crate::{
     crash, limit_exchange,
@@ -109,11 +109,16 @@
     let message = match heartbeat::decode(&node.settings.deployment, bytes) {
         Ok(message) => message,
         Err(e) => {
-            let is_exchange = e == heartbeat::Error::Protocol(demand::PROTOCOL_VERSION);
-            let Err(e) = (if is_exchange { limit_exchange::receive(node, bytes) } else { Err(e) })
-            else {
-                return;
+            let result = match e {
+                heartbeat::Error::Protocol(demand::PROTOCOL_VERSION) => {
+                    limit_exchange::receive(node, bytes)
+                }
+                heartbeat::Error::Protocol(reachability::PROTOCOL_VERSION) => {
+                    crate::reachability::receive(node, bytes)
+                }
+                e => Err(e),
             };
+            let Err(e) = result else { return };
             if node.log_limiter.allows(node.now(), LogKind::Peer) {
                 tracing::warn!(cause = %e, "rejected a heartbeat");
             }
@@ -227,17 +232,24 @@
     refresh_directory(node, membership.own());
 }
 
+/// Returns the node of a membership record.
+pub(crate) fn candidate(record: &Record) -> Candidate {
+    Candidate {
+        node: record.node,
+        address: record.callers,
+        domain: record.domain.clone(),
+        capacity: record.capacity,
+    }
+}
+
 /// Rebuilds the directory, and updates the number of nodes that share the connections and the
 /// retry budget of each pool.
 fn refresh_directory(node: &Node, own: &Record) {
     let peers = node.peers.load();
     let serving = peers.iter().chain([own]).filter(|r| r.status == Status::Alive && r.serving);
-    let candidate = |r: &Record| Candidate {
-        address: r.callers,
-        domain: r.domain.clone(),
-        capacity: r.capacity,
-    };
     let candidates: Vec<Candidate> = serving.map(candidate).collect();
+    let links = node.isolation.lock().links();
+    let candidates = node.reachability.lock().nameable(node.now(), links, candidates);
     let coverage = node.registry.lock().coverage();
     let preferred = node_selection::preferred_nodes(&candidates);
     let is_preferred = preferred.iter().any(|c| c.address == node.settings.caller_addr);
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -49,6 +49,10 @@
     pub cold_withheld: IntCounter,
     /// Whether this node is cut off from the upstreams.
     pub isolated: IntGauge,
+    /// Peers that are known to reach upstreams; 0 while nobody asks.
+    pub peers_reaching: IntGauge,
+    /// Peers that are known not to reach upstreams.
+    pub peers_cut_off: IntGauge,
     /// Callers' requests that were relayed through peers, by result.
     pub relayed_requests: IntCounterVec,
     /// Calls to peers by result.
@@ -168,6 +172,8 @@
                 register(&r, IntCounter::new("balsamgate_cold_withheld_total", help))
             },
             isolated: gauge(&r, "isolated", "Whether this node is cut off from the upstreams"),
+            peers_reaching: gauge(&r, "peers_reaching", "Peers known to reach upstreams"),
+            peers_cut_off: gauge(&r, "peers_cut_off", "Peers known not to reach upstreams"),
             relayed_requests: {
                 let help = "Requests of callers relayed through other nodes";
                 counters(&r, "relayed_requests_total", help, &["result"])
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -28,6 +28,7 @@
         limiter::Bound,
         node_selection::Candidate,
         pool::Pools,
+        reachability::Reachability,
         region::Regions,
         registry::Registry,
         retry_budget::RetryBound,
@@ -99,6 +100,8 @@
     pub(crate) report_fetches: Mutex<crash::FetchSchedule>,
     /// Whether this node is cut off from the upstreams.
     pub(crate) isolation: Mutex<Isolation>,
+    /// Which nodes reach upstreams.
+    pub(crate) reachability: Mutex<Reachability>,
     /// Copy of what `isolation` believes, so that requests need no lock.
     pub(crate) belief: isolation::SharedBelief,
     /// Idle connections to peers that serve requests for this node.
@@ -194,6 +197,7 @@
             reports_left_out: AtomicUsize::new(0),
             report_fetches: Mutex::new(crash::FetchSchedule::new(now)),
             isolation: Mutex::new(Isolation::new(now)),
+            reachability: Mutex::new(Reachability::new(now, id::Node(settings.advertised_addr))),
             belief: isolation::SharedBelief::default(),
             relay_connections: isolation::RelayConnections::default(),
             membership: Mutex::new(membership),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod operator;
 pub mod peer;
 pub mod platform;
+pub mod reachability;
 pub mod upstream;
