--- a/crates/balsamgate/tests/fleet/mod.rs
+++ b/crates/balsamgate/tests/fleet/mod.rs
@@ -25,7 +25,7 @@
 };
 
 /// Port at which nodes reach each other.
-const PEER_PORT: u16 = 7104;
+pub(crate) const PEER_PORT: u16 = 7104;
 /// Port that nodes behind links listen on.
 const LINKED_PORT: u16 = 7106;
 const PROGRAM: &str = env!("CARGO_BIN_EXE_balsamgate");
@@ -282,6 +282,13 @@
         }
     }
 
+    /// Panics if a node has exited.
+    pub(crate) fn assert_running(&mut self) {
+        for node in &mut self.nodes {
+            assert!(node.is_running(), "a node has exited: {}", node.log_text());
+        }
+    }
+
     /// Cuts node `n` of a linked fleet off from the other nodes, or ends that. Its callers, its
     /// upstreams and the store still reach it.
     pub(crate) fn set_cut(&self, n: usize, is_cut: bool) {
