A planned stop answers what it has taken

Shown here by a test: a request taken 3.04 s after SIGTERM, with 2 s to live, was passed on and cut off at 4.8 s of 6 s. Cause: the time that a request has was not bounded by the stop, and whatever ran at the limit was dropped.

A stop now hands its end down: requests taken in the grace period have until then at most, also at their upstreams; what still runs 1.35 s before the end is answered (504, or 503 if it has not run), by a token that all requests see; and once the node no longer accepts connections, it refuses requests on kept ones as not run, to be sent to another node at once. The test of retry delays asked for 1 s after such a refusal, which no program had sent so far; another node can serve the request at once, so the test now asks for at most 30 ms.

--- a/crates/balsamgate/src/relay.rs
+++ b/crates/balsamgate/src/relay.rs
@@ -32,6 +32,8 @@
 const MAX_VALIDITY_FACTOR: u32 = 3;
 /// Part of the grace period that is reserved for the process to exit by itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(1_200);
+/// Time to write the last answers.
+const ANSWER_MARGIN: Duration = Duration::from_millis(150);
 /// Time for the last connections to close before the process exits.
 const CLOSE_MARGIN: Duration = Duration::from_millis(200);
 /// Number of random low bits of an incarnation; the bits above are Unix time in milliseconds.
@@ -130,17 +132,25 @@
         }
     }
     tracing::info!(grace_ms = grace.as_millis() as u64, "stopping");
-    node.start_draining();
-    let deadline = tokio::time::Instant::now() + grace.saturating_sub(EXIT_MARGIN);
+    let time = grace.saturating_sub(EXIT_MARGIN);
+    let deadline = tokio::time::Instant::now() + time;
+    let answer_time = time.saturating_sub(ANSWER_MARGIN);
+    node.start_draining(answer_time);
+    let answers = deadline - (time - answer_time);
     // Serves on until callers no longer use an address answer that names this node.
     tokio::time::sleep((validity * MAX_VALIDITY_FACTOR).min(grace / 2)).await;
+    node.refuse_requests();
     stop.cancel();
     tasks.close();
-    if tokio::time::timeout_at(deadline, tasks.wait()).await.is_err() {
+    if tokio::time::timeout_at(answers, tasks.wait()).await.is_err() {
         tracing::warn!(
             connections = tasks.len(),
-            "planned stop reached its time limit; remaining connections are cut off"
+            "planned stop reached its time limit; requests that still run are answered"
         );
+        node.end_requests();
+    }
+    if tokio::time::timeout_at(deadline, tasks.wait()).await.is_err() {
+        tracing::warn!(connections = tasks.len(), "remaining connections are cut off");
     }
     cancel.cancel();
     tokio::time::sleep(CLOSE_MARGIN).await;
--- a/crates/policy/src/relay/request.rs
+++ b/crates/policy/src/relay/request.rs
@@ -502,11 +502,19 @@
             return Some(Completion::Partial);
         }
         if now >= self.ends_at() {
-            return Some(if enough { Completion::Partial } else { self.failed() });
+            return Some(self.end());
         }
         None
     }
 
+    /// Returns the result of the request if it must be answered now.
+    pub fn end(&self) -> Completion {
+        match self.replied >= self.plan.min_replies {
+            true => Completion::Partial,
+            false => self.failed(),
+        }
+    }
+
     fn failed(&self) -> Completion {
         let fate = self.fate();
         let ends = || self.pools.iter().filter_map(|p| p.last_end);
--- a/crates/policy/src/relay/retry_after.rs
+++ b/crates/policy/src/relay/retry_after.rs
@@ -2,7 +2,8 @@
 //!
 //! Many callers may fail at the same moment. A caller whose request failed at a few upstreams
 //! may retry at once, while an answer can still be in time: the retry is likely to reach other
-//! upstreams, and it draws a new random number for its admission. A caller whose request no
+//! upstreams, and it draws a new random number for its admission. So may a caller whose request
+//! another node can serve, as this one is stopping. A caller whose request no
 //! upstream can serve waits until that may have changed. Delays are jittered so that callers do
 //! not retry together.
 
@@ -26,7 +27,7 @@
 /// Returns the typical retry delay after a failure for `reason`.
 pub fn delay(reason: Reason) -> Duration {
     match reason {
-        Reason::Unreachable | Reason::Draining => OUTAGE_DELAY,
+        Reason::Unreachable => OUTAGE_DELAY,
         Reason::Quarantined => crash_quarantine::REPORT_TTL,
         Reason::NotReady => STARTUP_DELAY,
         _ => SOON_DELAY,
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -73,6 +73,9 @@
     if others >= node.settings.max_requests {
         return refuse(Reason::Overload, retry_after::BUSY_DELAY);
     }
+    if node.refusing.load(Ordering::Relaxed) {
+        return refuse(Reason::Draining, retry_after::delay(Reason::Draining));
+    }
     let Some(table) = node.route_table() else {
         return refuse(Reason::NotReady, retry_after::delay(Reason::NotReady));
     };
@@ -96,7 +99,9 @@
         return refuse(Reason::Overload, retry_after::BUSY_DELAY);
     };
     let timeout = metadata.timeout.unwrap_or(route.timeout).min(route.timeout);
-    let body = match tokio::time::timeout(timeout, read_body(body, limit)).await {
+    let deadline = node.answer_by(arrived + timeout);
+    let left = deadline.saturating_duration_since(arrived);
+    let body = match tokio::time::timeout(left, read_body(body, limit)).await {
         Ok(Ok(body)) => body,
         Ok(Err(status)) => {
             request_log::rejected(&node, &head, status);
@@ -120,9 +125,7 @@
         let delay = jittered(&node, retry_after::delay(reason));
         return response::failure(Fate::NotRun, reason, Some(delay));
     }
-    if let Some(response) =
-        isolation::serve(&node, &metadata, &head, &body, arrived + timeout).await
-    {
+    if let Some(response) = isolation::serve(&node, &metadata, &head, &body, deadline).await {
         return response;
     }
     let Some(mut state) = plan(&node, &table, &route, arrived, timeout) else {
@@ -231,7 +234,7 @@
         rank: route.rank,
         goal: route.remaining_goal(timeout),
         arrived,
-        deadline: arrived + timeout,
+        deadline: node.answer_by(arrived + timeout),
     });
     Some(state.with_home_regions(route.home_regions.clone()))
 }
@@ -284,6 +287,7 @@
                         next = futures::FutureExt::now_or_never(attempts.next()).flatten();
                     }
                 }
+                () = node.end_requests.cancelled() => break state.end(),
                 () = tokio::time::sleep(sleep) => {}
             }
         };
--- a/crates/relay/src/isolation.rs
+++ b/crates/relay/src/isolation.rs
@@ -443,7 +443,12 @@
         let (body, reservation) = read.map_err(|e| Failure::Lost(connection::error_chain(&e)))?;
         Ok((Response::from_parts(head, body), reservation))
     };
-    let answer = tokio::time::timeout(left, exchange).await.map_err(|_| Failure::TimedOut)??;
+    let answer = tokio::select! {
+        biased;
+        answer = tokio::time::timeout(left, exchange) => answer,
+        () = node.end_requests.cancelled() => return Err(Failure::TimedOut),
+    };
+    let answer = answer.map_err(|_| Failure::TimedOut)??;
     if sender.ready().await.is_ok() {
         node.relay_connections.push(node.now(), peer, sender);
     }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -39,6 +39,7 @@
 use rand_chacha::ChaCha8Rng;
 use smol_str::SmolStr;
 use tokio::sync::{Notify, Semaphore};
+use tokio_util::sync::CancellationToken;
 
 use crate::{
     connection, crash,
@@ -115,6 +116,12 @@
     pub(crate) registry_loaded: AtomicBool,
     /// Whether a planned stop has begun.
     pub(crate) draining: AtomicBool,
+    /// When a planned stop answers the requests that still run.
+    pub(crate) stop_at: Mutex<Option<Instant>>,
+    /// Whether a planned stop no longer takes requests.
+    pub(crate) refusing: AtomicBool,
+    /// Ends the requests that still run at the end of a planned stop.
+    pub(crate) end_requests: CancellationToken,
     /// Requests in flight.
     pub(crate) in_flight: AtomicUsize,
     /// Bounds the memory for bodies of requests and replies.
@@ -205,6 +212,9 @@
             peers_version: AtomicUsize::new(usize::MAX),
             registry_loaded: AtomicBool::new(false),
             draining: AtomicBool::new(false),
+            stop_at: Mutex::default(),
+            refusing: AtomicBool::new(false),
+            end_requests: CancellationToken::new(),
             in_flight: AtomicUsize::new(0),
             body_memory: MemoryBudget::new(settings.max_buffered_bytes),
             detached_requests: Arc::new(Semaphore::new(settings.max_requests)),
@@ -319,11 +329,28 @@
         loaded && !isolated && !self.draining.load(Ordering::Relaxed)
     }
 
-    /// Begins a planned stop: address lists no longer name the node.
-    pub fn start_draining(&self) {
+    /// Begins a planned stop: address lists no longer name the node, and requests are answered within
+    /// `time`.
+    pub fn start_draining(&self, time: Duration) {
+        *self.stop_at.lock() = Some(self.now() + time);
         self.draining.store(true, Ordering::Relaxed);
     }
 
+    /// Refuses requests that arrive from now on, as not run.
+    pub fn refuse_requests(&self) {
+        self.refusing.store(true, Ordering::Relaxed);
+    }
+
+    /// Answers the requests that still run.
+    pub fn end_requests(&self) {
+        self.end_requests.cancel();
+    }
+
+    /// Returns the time by which a request with `deadline` must have been answered.
+    pub(crate) fn answer_by(&self, deadline: Instant) -> Instant {
+        (*self.stop_at.lock()).map_or(deadline, |at| deadline.min(at))
+    }
+
     /// Returns whether address lists may name this node; true until other nodes are known.
     pub fn is_preferred(&self) -> bool {
         self.preferred.load(Ordering::Relaxed)
