A cut is not taken for a shortage of capacity

Callers saw: nodes that are or were cut off refused requests as "too many of its pools are short of capacity", 347 times in the 3 s after a cut of 14 s; and the one request by which a node finds out whether its links carry replies again was refused that way, so that nothing contradicted its return and it came back while still cut off.

Cause: replies that are missing as the node is cut off counted as missed for triage. They no longer do while the node may be cut off, and what was learned before it knew is forgotten when it concludes that it is cut off, and when it returns.

--- a/crates/policy/src/relay/pool.rs
+++ b/crates/policy/src/relay/pool.rs
@@ -179,6 +179,8 @@
     limited: FastSet<UpstreamHandle>,
     /// Failure domains whose upstreams get no requests.
     evacuated: FastSet<SmolStr>,
+    /// Whether replies may be missing because this node is cut off from the upstreams.
+    may_be_cut_off: bool,
     coldness: Coldness,
     regions: Regions,
 }
@@ -220,6 +222,7 @@
             process_keys: FastMap::default(),
             limited: FastSet::default(),
             evacuated: FastSet::default(),
+            may_be_cut_off: false,
             coldness: Coldness {
                 limits: FastMap::default(),
                 bound: cold::DEFAULT_BOUND,
@@ -571,8 +574,23 @@
         self.pools.get(pool).is_some_and(|p| p.handles.iter().any(idle))
     }
 
+    /// Sets whether replies may be missing because this node is cut off from the upstreams. Such
+    /// replies do not count as a shortage.
+    pub fn set_may_be_cut_off(&mut self, may_be: bool) {
+        self.may_be_cut_off = may_be;
+    }
+
+    /// Forgets which pools are short of capacity: this node was cut off from the upstreams, so that
+    /// missing replies have shown no shortage.
+    pub fn forget_shortages(&mut self, now: Instant) {
+        self.pools.values_mut().for_each(|p| p.triage.forget_shortage(now));
+    }
+
     /// Records the result of a request of `class` among several pools at `pool`.
     pub fn record_sample(&mut self, now: Instant, pool: &id::Pool, class: &Class, sample: Sample) {
+        if self.may_be_cut_off && sample == Sample::Missed {
+            return;
+        }
         self.pool_mut(now, pool).triage.record(now, class, sample);
     }
 
--- a/crates/policy/src/relay/triage.rs
+++ b/crates/policy/src/relay/triage.rs
@@ -140,6 +140,11 @@
         }
     }
 
+    /// Forgets that the pool is or was short of capacity.
+    pub fn forget_shortage(&mut self, now: Instant) {
+        (self.part, self.sampled, self.short_at) = (MAX_PART, now, None);
+    }
+
     /// Records a request, whether or not it is admitted.
     pub fn record_demand(&mut self, now: Instant, class: &Class) {
         if let Some(state) = self.class_mut(now, class) {
--- a/crates/policy/tests/relay_pool.rs
+++ b/crates/policy/tests/relay_pool.rs
@@ -11,6 +11,7 @@
     pool::Pools,
     registry::{Change, Entry, Event, Registry},
     retry_budget::RetryBound,
+    triage::{Class, Sample},
     upstream::AttemptEnd,
 };
 use rand::SeedableRng;
@@ -198,3 +199,27 @@
     check(Some(118), 110, 1);
     check(None, 66, 49);
 }
+
+/// Guards against a node that refuses its callers' requests as pools seem short, while it is cut off and
+/// afterwards.
+#[test]
+fn replies_that_are_missing_at_a_node_that_is_cut_off_show_no_shortage() {
+    let class = Class { route: "search".into(), rank: 0, goal: ms(100) };
+    let miss = |case: &mut Case| {
+        for _ in 0..200 {
+            case.now += ms(20);
+            case.pools.admits(case.now, &pool(), &class, 0.5);
+            case.pools.record_sample(case.now, &pool(), &class, Sample::Missed);
+        }
+        case.pools.is_short(&pool())
+    };
+    let mut case = Case::new();
+    case.pools.set_may_be_cut_off(true);
+    assert!(!miss(&mut case));
+    case.pools.set_may_be_cut_off(false);
+    assert!(miss(&mut case));
+    // What it learned before it knew.
+    case.pools.forget_shortages(case.now);
+    assert!(!case.pools.is_short(&pool()));
+    assert!(case.pools.admits(case.now, &pool(), &class, 0.99));
+}
--- a/crates/relay/src/isolation.rs
+++ b/crates/relay/src/isolation.rs
@@ -193,6 +193,14 @@
         (isolation.tick(now, &seen), isolation.belief(), isolation.links())
     };
     node.belief.set(belief);
+    {
+        let may_be_cut_off = may_be_cut_off(node);
+        let mut pools = node.pools.lock();
+        pools.set_may_be_cut_off(may_be_cut_off);
+        if matches!(change, Some(Change::Isolated | Change::Recovered)) {
+            pools.forget_shortages(now);
+        }
+    }
     node.metrics.isolated.set(i64::from(belief == Belief::Isolated));
     if let Some(change) = change {
         log(node, change, seen.last_reply);
