The request that tests a cut-off node's links is not lost

Cause: half-way through that wait the node serves one request itself, to see whether it gets a reply, whatever the request; and it returned at the end of the wait even if that request was still in flight.

Only requests that may run more than once are used now; if they get no reply they are relayed to a peer in the time left, which is no second run, as links that carried no reply for seconds delivered no request either. A node waits for the end of such a request. A node that knows no peer yet that reaches upstreams asks callers back after 250 ms, a round of questions, rather than 1 s.

--- a/crates/policy/src/relay/isolation.rs
+++ b/crates/policy/src/relay/isolation.rs
@@ -129,15 +129,16 @@
     peer_failures: usize,
 }
 
-/// Progress of a recovery.
-#[derive(Debug, Clone, Copy)]
-struct Trial {
-    accepting_since: Option<Instant>,
-    is_due: bool,
+/// A request that the node itself serves while it is isolated, to see whether it gets a reply.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Trial {
+    NotDue,
+    Due,
+    Sent,
 }
 
 /// Isolated, while too few upstreams accept connections.
-const ISOLATED: State = State::Isolated { accepting_since: None, trial_due: false };
+const ISOLATED: State = State::Isolated { accepting_since: None, trial: Trial::NotDue };
 
 #[derive(Debug, Clone, Copy)]
 enum State {
@@ -146,8 +147,7 @@
     Isolated {
         /// Since when enough upstreams have accepted connections.
         accepting_since: Option<Instant>,
-        /// Whether the node is to serve one request itself, to see whether it gets a reply.
-        trial_due: bool,
+        trial: Trial,
     },
 }
 
@@ -271,15 +271,17 @@
     }
 
     /// Returns who is to serve the next request of a caller. `peers` tells whether any peer is known
-    /// to reach upstreams.
-    pub fn next_server(&mut self, peers: bool) -> Server {
+    /// to reach upstreams, `may_try` whether a node that is cut off may use the request to see whether
+    /// its links carry replies.
+    pub fn next_server(&mut self, peers: bool, may_try: bool) -> Server {
         let last_accepted = self.last_accepted;
         match &mut self.state {
             State::Connected => Server::Own,
-            State::Isolated { trial_due, .. } => match std::mem::take(trial_due) {
-                true => Server::Own,
-                false => Server::Peer,
-            },
+            State::Isolated { trial, .. } if may_try && *trial == Trial::Due => {
+                *trial = Trial::Sent;
+                Server::Own
+            }
+            State::Isolated { .. } => Server::Peer,
             State::Suspected(_) if !peers => Server::Own,
             State::Suspected(s) if last_accepted.is_none_or(|at| at < s.since) => Server::Peer,
             State::Suspected(_) => {
@@ -331,9 +333,8 @@
         self.lost.retain(|_, f| !expired(f));
         self.refused.retain(|_, f| !expired(f));
         match self.state {
-            State::Isolated { accepting_since, trial_due } => {
-                let trial = Trial { accepting_since, is_due: trial_due };
-                self.try_recover(now, last_tick, trial, seen)
+            State::Isolated { accepting_since, trial } => {
+                self.try_recover(now, accepting_since, trial, seen)
             }
             State::Suspected(suspicion) => self.conclude(now, last_tick, suspicion, seen),
             State::Connected => {
@@ -494,7 +495,7 @@
     fn try_recover(
         &mut self,
         now: Instant,
-        last_tick: Instant,
+        accepting_since: Option<Instant>,
         trial: Trial,
         seen: &Observation,
     ) -> Option<Change> {
@@ -503,9 +504,8 @@
             self.state = ISOLATED;
             return None;
         }
-        let since = trial.accepting_since.unwrap_or(now);
-        let replied =
-            trial.accepting_since.is_some() && seen.last_reply.is_some_and(|at| at >= since);
+        let since = accepting_since.unwrap_or(now);
+        let replied = accepting_since.is_some() && seen.last_reply.is_some_and(|at| at >= since);
         let hold = match self.relapses {
             0 => Duration::ZERO,
             n => RELAPSE_HOLD * 2u32.pow(n - 1),
@@ -518,11 +518,14 @@
             self.state = ISOLATED;
             return None;
         }
+        // Half-way, one request shows whether the links carry replies. It needs time for that.
+        let (trial, hold) = match trial {
+            Trial::NotDue if accepting >= hold / 2 => (Trial::Due, hold),
+            Trial::Sent => (Trial::Sent, hold * 2),
+            trial => (trial, hold),
+        };
         if !replied && accepting < hold {
-            // Half-way, one request shows whether the links carry replies.
-            let half = since + hold / 2;
-            let trial_due = trial.is_due || last_tick < half && now >= half;
-            self.state = State::Isolated { accepting_since: Some(since), trial_due };
+            self.state = State::Isolated { accepting_since: Some(since), trial };
             return None;
         }
         self.state = State::Connected;
--- a/crates/policy/src/relay/retry_after.rs
+++ b/crates/policy/src/relay/retry_after.rs
@@ -21,6 +21,8 @@
 /// Delay if this node has just started and has no configuration yet: a few calls to the
 /// platform.
 const STARTUP_DELAY: Duration = Duration::from_millis(300);
+/// Delay if this node looks for another one that reaches upstreams: about one round of questions.
+pub const SEARCH_DELAY: Duration = Duration::from_millis(250);
 /// Delay if no upstream can be reached: the time in which lost upstreams are replaced.
 const OUTAGE_DELAY: Duration = Duration::from_millis(1_000);
 
--- a/crates/policy/tests/relay_isolation.rs
+++ b/crates/policy/tests/relay_isolation.rs
@@ -167,7 +167,7 @@
             case.isolation.record_peer(case.now, false);
         }
         assert_eq!(case.run(ms(100)), [Change::Outage]);
-        assert_eq!(case.isolation.next_server(false), Server::Own);
+        assert_eq!(case.isolation.next_server(false, true), Server::Own);
         assert!(!case.isolation.may_be_cut_off(case.now, case.seen.last_reply, KNOWN));
     }
     // Upstreams come back to a peer first, and then to this node.
@@ -229,7 +229,7 @@
 #[test]
 fn requests_go_to_peers_that_reach_upstreams_while_isolation_is_suspected() {
     let own = |case: &mut Case, peers| {
-        (0..100).filter(|_| case.isolation.next_server(peers) == Server::Own).count()
+        (0..100).filter(|_| case.isolation.next_server(peers, true) == Server::Own).count()
     };
     let mut case = Case::new();
     assert_eq!(own(&mut case, true), 100);
@@ -337,7 +337,8 @@
     let mut trials = 0;
     for _ in 0..12 {
         assert_eq!(case.accept(ms(250)), []);
-        if case.isolation.next_server(true) == Server::Own {
+        assert_eq!(case.isolation.next_server(true, false), Server::Peer, "it must not be lost");
+        if case.isolation.next_server(true, true) == Server::Own {
             trials += 1;
             case.lose([7]);
         }
@@ -363,3 +364,19 @@
     case.isolate();
     assert_eq!(case.accept(ms(10_000)), [Change::Recovered]);
 }
+
+/// Guards against a node that returns while the request that is to show whether it may is in flight.
+#[test]
+fn a_node_does_not_return_before_it_knows_how_its_trial_has_ended() {
+    let mut case = Case::isolated();
+    assert_eq!(case.accept(ms(250)), [Change::Recovered]);
+    case.isolate();
+    assert_eq!(case.accept(ms(750)), []);
+    assert_eq!(case.run(ms(100)), []);
+    assert_eq!(case.isolation.next_server(true, true), Server::Own);
+    case.send([8]);
+    assert_eq!(case.run(ms(200)), [], "a second has passed since connections are accepted");
+    case.connect(0, true);
+    case.connect(1, true);
+    assert_eq!(case.run(ms(200)), [], "it has failed");
+}
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -16,6 +16,7 @@
     outcome::{Fate, Reason},
     relay::{
         crash_suspects::{self, Suspect},
+        isolation::Belief,
         merge,
         pool::UpstreamHandle,
         request::{Completion, Plan, PlannedAttempt, RequestState},
@@ -125,7 +126,9 @@
         let delay = jittered(&node, retry_after::delay(reason));
         return response::failure(Fate::NotRun, reason, Some(delay));
     }
-    if let Some(response) = isolation::serve(&node, &metadata, &head, &body, deadline).await {
+    let repeatable = route.repeatable;
+    let exchange = isolation::Exchange { metadata: &metadata, head: &head, body: &body, deadline };
+    if let Some(response) = isolation::serve(&node, exchange, repeatable).await {
         return response;
     }
     let Some(mut state) = plan(&node, &table, &route, arrived, timeout) else {
@@ -147,14 +150,20 @@
     let mut task = RequestTask {
         attempt_head: attempt_head(&head),
         log: RequestLog::new(&node, &metadata.request_id, &route, table.generation, arrived),
-        request_id: metadata.request_id,
-        body,
+        request_id: metadata.request_id.clone(),
+        body: body.clone(),
         pool_count: state.plan().pools.len(),
         suspect,
         route,
-        node,
+        node: node.clone(),
     };
-    let mut response = task.run(state).await;
+    let (mut response, completion) = task.run(state).await;
+    // The request has shown that the links still carry nothing; its caller need not lose by that.
+    let is_lost = matches!(completion, Completion::Failed { .. });
+    if is_lost && repeatable && node.belief.get() == Belief::Isolated {
+        let by_peer = isolation::serve(&node, exchange, false).await;
+        response = by_peer.unwrap_or(response);
+    }
     let addressee =
         response::Addressee { request_id: task.request_id, deadline: arrived + timeout };
     response.extensions_mut().insert(addressee);
@@ -252,7 +261,7 @@
 }
 
 impl RequestTask {
-    async fn run(&mut self, mut state: RequestState) -> Response<Body> {
+    async fn run(&mut self, mut state: RequestState) -> (Response<Body>, Completion) {
         let node = self.node.clone();
         let mut attempts = Attempts::new();
         let mut replies: Vec<ReceivedReply> = Vec::new();
@@ -298,7 +307,7 @@
         }
         state.record_samples(node.now(), &mut node.pools.lock());
         self.log.answered(&state, completion);
-        self.answer(&state, completion, replies, failure_reply)
+        (self.answer(&state, completion, replies, failure_reply), completion)
     }
 
     /// Records a finished attempt. Adds its reply to `replies` if it counts, or stores it in
--- a/crates/relay/src/isolation.rs
+++ b/crates/relay/src/isolation.rs
@@ -311,14 +311,22 @@
     TimedOut,
 }
 
+/// A caller's request, which is to be answered by `deadline`.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Exchange<'a> {
+    pub(crate) metadata: &'a RequestMetadata,
+    pub(crate) head: &'a request::Parts,
+    pub(crate) body: &'a Bytes,
+    pub(crate) deadline: Instant,
+}
+
 /// Answers a caller's request through a peer if this node is or may be cut off. Returns `None` if
-/// this node is to serve it.
+/// this node is to serve it. `may_try` tells whether a node that is cut off may use the request to see
+/// whether its links carry replies.
 pub(crate) async fn serve(
     node: &Arc<Node>,
-    metadata: &RequestMetadata,
-    head: &request::Parts,
-    body: &Bytes,
-    deadline: Instant,
+    Exchange { metadata, head, body, deadline }: Exchange<'_>,
+    may_try: bool,
 ) -> Option<Response<Body>> {
     let belief = node.belief.get();
     if belief == Belief::Connected {
@@ -326,7 +334,7 @@
     }
     let refuse = || {
         request_log::refused(node, head, Reason::Unreachable);
-        let delay = retry_after::jittered(retry_after::delay(Reason::Unreachable), node.chance());
+        let delay = retry_after::jittered(retry_after::SEARCH_DELAY, node.chance());
         Some(response::failure(Fate::NotRun, Reason::Unreachable, Some(delay)))
     };
     if metadata.relayed {
@@ -335,7 +343,7 @@
     }
     let began = node.now();
     let peers = peers(node, began);
-    if node.isolation.lock().next_server(!peers.is_empty()) == Server::Own {
+    if node.isolation.lock().next_server(!peers.is_empty(), may_try) == Server::Own {
         return None;
     }
     let mut refusal = None;
