A reply at the start of a suspicion does not outweigh later failures

Seen once in five runs of a_request_that_may_run_only_once_is_relayed_once beside load (average 13): the node was never isolated within 20 s. Callers were served by the peer, but address lists went on naming the node.

Cause: a suspicion by refused connections takes silence as evidence only if no upstream has replied since it began. One had, 20 ms after it, on a connection that was cut late; all requests went to the peer from then on, so that nothing ended the suspicion. Silence now counts from the last reply.

--- a/crates/policy/src/relay/isolation.rs
+++ b/crates/policy/src/relay/isolation.rs
@@ -438,7 +438,7 @@
         let has_replied = seen.last_reply.is_some_and(|at| at >= since);
         let has_accepted = self.last_accepted.is_some_and(|at| at >= since);
         let losses = self.losses(now, seen, &self.refused);
-        suspicion.silent = (suspicion.silent || silent) && !has_replied && !losses.is_empty();
+        suspicion.silent = (silent || suspicion.silent && !has_replied) && !losses.is_empty();
         suspicion.refused =
             (suspicion.refused || refused) && !has_accepted && !self.refused.is_empty();
         self.state = State::Suspected(suspicion);
--- a/crates/policy/tests/relay_isolation.rs
+++ b/crates/policy/tests/relay_isolation.rs
@@ -270,6 +270,24 @@
     assert_eq!(case.run(ms(600)), [Change::Isolated]);
 }
 
+/// Guards against a node that suspects isolation for ever, as one reply came at the beginning and all
+/// requests go to peers since.
+#[test]
+fn a_reply_at_the_start_of_a_suspicion_does_not_outweigh_what_fails_afterwards() {
+    let mut case = Case::new();
+    (0..3).for_each(|n| case.connect(n, false));
+    case.reply();
+    assert_eq!(case.run(ms(400)), [Change::Suspected]);
+    case.reply();
+    case.isolation.record_peer(case.now, true);
+    let mut changes = Vec::new();
+    for _ in 0..4 {
+        changes.extend(case.run(ms(250)));
+        (3..6).for_each(|n| case.connect(n, false));
+    }
+    assert_eq!(changes, [Change::Isolated]);
+}
+
 /// Links may accept connections and carry nothing.
 #[test]
 fn accepted_connections_are_no_contact_after_a_lost_attempt() {
