--- a/crates/wire/tests/reachability.rs
+++ b/crates/wire/tests/reachability.rs
@@ -15,16 +15,23 @@
     name.parse().expect("valid name")
 }
 
+const LARGEST: &str = "[ffff:ffff:ffff:ffff:ffff:ffff:ffff:ffff]:65535";
+
 fn message(others: usize) -> Message {
+    message_of(LARGEST, others)
+}
+
+/// Returns a message about nodes with the address `node`.
+fn message_of(node: &str, others: usize) -> Message {
     let now = Instant::now();
     let at = now.checked_sub(Duration::from_millis(4_999));
     let ages = Ages::new(now, Contact { replied: at, accepted: at });
-    let largest = "[ffff:ffff:ffff:ffff:ffff:ffff:ffff:ffff]:65535".parse().expect("address");
+    let node = id::Node(node.parse().expect("address"));
     Message {
-        from: id::Node(largest),
+        from: node,
         kind: Kind::Question { within_ms: u16::MAX },
         own: Some(ages),
-        others: vec![(id::Node(largest), ages); others],
+        others: vec![(node, ages); others],
     }
 }
 
@@ -36,6 +43,9 @@
         println!("{others} other nodes: {} bytes", bytes.len());
         assert!(bytes.len() <= MAX_DATAGRAM_BYTES);
         assert_eq!(reachability::decode(&name, &bytes), Ok(message(others)));
+        let usual = message_of("10.200.10.200:8224", others);
+        let bytes = reachability::encode(&deployment("main"), &usual).expect("it fits");
+        println!("with usual names and addresses: {} bytes", bytes.len());
     }
 }
 
