--- a/crates/balsamgate/tests/fleet/mod.rs
+++ b/crates/balsamgate/tests/fleet/mod.rs
@@ -268,8 +268,14 @@
     /// Like [`Fleet::start`], with nodes that relay requests through each other while they are cut
     /// off from the upstreams.
     pub(crate) fn start_relaying(cores: &[f64], store: SocketAddr) -> Fleet {
+        Fleet::start_relaying_with(cores, store, "")
+    }
+
+    /// Like [`Fleet::start_relaying`], with further `sections` of the settings.
+    pub(crate) fn start_relaying_with(cores: &[f64], store: SocketAddr, sections: &str) -> Fleet {
         let program = Path::new(PROGRAM);
-        Fleet::start_nodes(program, cores, store, "rate = 20", "contact = 5 s\n", (false, false))
+        let log = format!("rate = 20\n{sections}");
+        Fleet::start_nodes(program, cores, store, &log, "contact = 5 s\n", (false, false))
     }
 
     /// Waits until all nodes report that they are ready.
--- a/crates/balsamgate/tests/isolation.rs
+++ b/crates/balsamgate/tests/isolation.rs
@@ -60,9 +60,14 @@
 
     /// Starts one node for each of `cores`, the processor capacity of its VM.
     async fn start_with(cores: &[f64]) -> Testbed {
+        Testbed::start_in(cores, "", &config(1, POOLS).to_json()).await
+    }
+
+    /// Starts nodes with further `sections` of their settings, and with the configuration `config`.
+    async fn start_in(cores: &[f64], sections: &str, config: &str) -> Testbed {
         let cancel = CancellationToken::new();
         let store = Store::start(cancel.clone()).await.expect("a store");
-        store.put(CONFIG_KEY, config(1, POOLS).to_json().as_bytes());
+        store.put(CONFIG_KEY, config.as_bytes());
         let links = UpstreamLinks::new();
         let mut upstreams = Vec::new();
         for name in (0..POOLS).map(pool).chain(["single".to_owned()]) {
@@ -74,7 +79,7 @@
                 upstreams.push(upstream);
             }
         }
-        let mut fleet = Fleet::start_relaying(cores, store.address());
+        let mut fleet = Fleet::start_relaying_with(cores, store.address(), sections);
         fleet.ready().await;
         links.set_processes(fleet.nodes.iter().filter_map(|n| n.id()));
         Testbed { fleet, links, upstreams, next_id: Arc::default(), cancel }
@@ -337,6 +342,28 @@
     assert_served(loads.iter().map(|l| l.0.counts()));
 }
 
+/// Guards against bodies that leave the home regions of their route by way of a peer.
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_relayed_within_the_home_regions_of_their_route() {
+    let regions = "[regions]\na = north\nb = south\nc = south\n";
+    let at_home = r#""home-regions":["north"],"prefix":"#;
+    let config = config(1, POOLS).to_json().replace(r#""prefix":"#, at_home);
+    let testbed = Testbed::start_in(&[1.0; 4], regions, &config).await;
+    let load = testbed.load(0);
+    testbed.cut(&[0], Some(Cut::Reset));
+    testbed.wait_isolated(&[0]).await;
+    tokio::time::sleep(LOAD).await;
+    drop(load);
+    let log = testbed.fleet.nodes[0].log_text();
+    let relayed = |n: usize| {
+        let peer = format!("\"peer\":\"{}\"", testbed.fleet.nodes[n].callers());
+        log.lines().filter(|l| l.contains("relayed") && l.contains(&peer)).count()
+    };
+    println!("relayed to the nodes {:?}", [0, 1, 2, 3].map(relayed));
+    assert!(relayed(3) > 0);
+    assert_eq!((relayed(1), relayed(2)), (0, 0));
+}
+
 /// Guards against nodes that leave in an outage of the upstreams, or at its end.
 #[tokio::test(flavor = "multi_thread")]
 async fn no_node_leaves_in_an_outage_of_all_upstreams() {
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -127,7 +127,14 @@
         return response::failure(Fate::NotRun, reason, Some(delay));
     }
     let repeatable = route.repeatable;
-    let exchange = isolation::Exchange { metadata: &metadata, head: &head, body: &body, deadline };
+    let home_regions = route.home_regions.clone();
+    let exchange = isolation::Exchange {
+        metadata: &metadata,
+        head: &head,
+        body: &body,
+        deadline,
+        home_regions: &home_regions,
+    };
     if let Some(response) = isolation::serve(&node, exchange, repeatable).await {
         return response;
     }
--- a/crates/relay/src/isolation.rs
+++ b/crates/relay/src/isolation.rs
@@ -22,6 +22,7 @@
     relay::{
         isolation::{Belief, Change, OVERDUE, Observation, PROBE_INTERVAL, PROBES, Server},
         isolation::{SILENCE, TICK_INTERVAL},
+        node_selection,
         reachability::Destination,
         retry_after,
         upstream::AttemptEnd,
@@ -318,6 +319,8 @@
     pub(crate) head: &'a request::Parts,
     pub(crate) body: &'a Bytes,
     pub(crate) deadline: Instant,
+    /// Regions that the request stays in; all if empty.
+    pub(crate) home_regions: &'a [id::Region],
 }
 
 /// Answers a caller's request through a peer if this node is or may be cut off. Returns `None` if
@@ -325,7 +328,7 @@
 /// whether its links carry replies.
 pub(crate) async fn serve(
     node: &Arc<Node>,
-    Exchange { metadata, head, body, deadline }: Exchange<'_>,
+    Exchange { metadata, head, body, deadline, home_regions }: Exchange<'_>,
     may_try: bool,
 ) -> Option<Response<Body>> {
     let belief = node.belief.get();
@@ -342,7 +345,7 @@
         return refuse();
     }
     let began = node.now();
-    let peers = peers(node, began);
+    let peers = peers(node, began, home_regions);
     if node.isolation.lock().next_server(!peers.is_empty(), may_try) == Server::Own {
         return None;
     }
@@ -419,10 +422,19 @@
     }
 }
 
-/// Returns a few peers that reach upstreams, in random order.
-fn peers(node: &Node, now: Instant) -> Vec<Destination> {
+/// Returns a few peers that reach upstreams, in random order: those in `home_regions` or in this node's
+/// own region, where the request is already.
+fn peers(node: &Node, now: Instant, home_regions: &[id::Region]) -> Vec<Destination> {
     let directory = node.directory.load();
-    let peers = reachability::servers(node, now, &directory.candidates);
+    let homes = (!home_regions.is_empty()).then_some(home_regions);
+    let own = node.regions.region(node.settings.domain.as_str()).map(id::Region::as_str);
+    let allowed = node_selection::nodes_in_home_regions(
+        &directory.candidates,
+        &node.regions,
+        homes.as_slice(),
+        own,
+    );
+    let peers = reachability::servers(node, now, &allowed);
     let chosen = node.with_rng(|rng| {
         let chosen = peers.choose_multiple_weighted(rng, MAX_PEERS, |server| server.weight);
         chosen.map(|chosen| chosen.cloned().collect())
