Connected nodes do not keep each other asking

Found by reading the diff: each question made its receiver ask others for 2 s, also one of a connected node, so that the whole fleet would have gone on asking, and idle nodes opening connections to check their links, for ever after the first suspicion. Only questions of nodes that may be cut off do so now, and only these make an idle node check its links.

The new test of policy fails without the change (four nodes asked instead of none).

--- a/crates/policy/src/relay/reachability.rs
+++ b/crates/policy/src/relay/reachability.rs
@@ -35,7 +35,7 @@
 const SUSPECTING_QUESTIONS: usize = 8;
 /// The same while isolation is confirmed, and at a connected node that others have asked lately.
 const QUESTIONS: usize = 4;
-/// Time after a question from another node for which a connected node asks too, so that its address
+/// Time after a question of a node that may be cut off for which a connected node asks too, so that its address
 /// lists name nodes that reach upstreams.
 const WATCH_TIME: Duration = Duration::from_secs(2);
 /// Maximum number of other nodes in a message.
@@ -150,6 +150,8 @@
     /// Contacts from then on answer it.
     since: Instant,
     asked: Instant,
+    /// Whether the asking node may be cut off. Others are told what is known already.
+    may_be_cut_off: bool,
 }
 
 /// What this node believes of its own links.
@@ -170,8 +172,8 @@
     peers: FastMap<id::Node, Peer>,
     waiting: Vec<Waiting>,
     next_round: Instant,
-    /// When another node last asked.
-    asked: Option<Instant>,
+    /// When another node that may be cut off last asked.
+    cut_off_asked: Option<Instant>,
 }
 
 impl Reachability {
@@ -182,7 +184,7 @@
             peers: FastMap::default(),
             waiting: Vec::new(),
             next_round: now,
-            asked: None,
+            cut_off_asked: None,
         }
     }
 
@@ -206,30 +208,39 @@
             }
         }
         if let Kind::Question { within_ms } = kind {
-            self.asked = Some(now);
+            if own.is_none() {
+                self.cut_off_asked = Some(now);
+            }
             let within = Duration::from_millis((*within_ms).into());
             let since = now.checked_sub(within).unwrap_or(now);
             self.waiting.retain(|w| w.from != *from);
             if self.waiting.len() < MAX_WAITING {
-                self.waiting.push(Waiting { from: *from, since, asked: now });
+                let may_be_cut_off = own.is_none();
+                self.waiting.push(Waiting { from: *from, since, asked: now, may_be_cut_off });
             }
         }
     }
 
-    /// Takes the nodes to answer, each with whether this node reaches upstreams: all if it may be cut
-    /// off, otherwise those whose question is answered by `contact`, or has waited for too long.
+    /// Drops what is too old to matter.
+    pub fn expire(&mut self, now: Instant) {
+        self.peers.retain(|_, p| p.latest().is_some_and(|at| now < at + RETENTION));
+    }
+
+    /// Takes the nodes to answer, each with whether this node tells it of `contact`, rather than that it
+    /// does not reach upstreams. All are answered if this node may be cut off; otherwise a node that
+    /// may be cut off waits for a contact that answers its question, but not for too long.
     pub fn due_answers(
         &mut self,
         now: Instant,
         links: Links,
         contact: Contact,
     ) -> Vec<(id::Node, bool)> {
-        let reaches = |w: &Waiting| {
-            links == Links::Connected && contact.latest().is_some_and(|at| at >= w.since)
-        };
+        let is_answered =
+            |w: &Waiting| !w.may_be_cut_off || contact.latest().is_some_and(|at| at >= w.since);
+        let reaches = |w: &Waiting| links == Links::Connected && is_answered(w);
         let is_due = |w: &mut Waiting| {
             let is_late = now.saturating_duration_since(w.asked) >= ANSWER_TIME;
-            links != Links::Connected || is_late || reaches(w)
+            links != Links::Connected || is_late || is_answered(w)
         };
         let due: Vec<Waiting> = self.waiting.extract_if(.., is_due).collect();
         due.iter().map(|w| (w.from, reaches(w))).collect()
@@ -254,7 +265,6 @@
             Links::Suspected(since) => now.saturating_duration_since(since),
             Links::Connected | Links::Cut => FRESH / 3,
         };
-        self.peers.retain(|_, p| p.latest().is_some_and(|at| now < at + RETENTION));
         if now < self.next_round || links == Links::Connected && !self.is_watching(now) {
             return (Vec::new(), within);
         }
@@ -391,9 +401,9 @@
         Counts { reaching, denied: self.peers.values().filter(denied).count() }
     }
 
-    /// Returns whether other nodes have asked lately.
+    /// Returns whether nodes that may be cut off have asked lately.
     pub fn is_watching(&self, now: Instant) -> bool {
-        self.asked.is_some_and(|at| now.saturating_duration_since(at) < WATCH_TIME)
+        self.cut_off_asked.is_some_and(|at| now.saturating_duration_since(at) < WATCH_TIME)
     }
 }
 
--- a/crates/policy/tests/relay_reachability.rs
+++ b/crates/policy/tests/relay_reachability.rs
@@ -114,6 +114,31 @@
     assert!(!case.due_questions(Links::Connected, &[1, 2], &[1, 2, 3, 4]).is_empty());
 }
 
+/// Guards against connected nodes that keep each other asking, and checking their links, for ever.
+#[test]
+fn questions_of_connected_nodes_make_no_other_node_ask() {
+    let mut case = Case::new();
+    let kind = Kind::Question { within_ms: 500 };
+    let own = Some(Ages::new(case.now, replied(case.now)));
+    let question = Message { from: node(1), kind, own, others: vec![] };
+    case.state.receive(case.now, &question);
+    assert_eq!(case.due_questions(Links::Connected, &[1, 2], &[1, 2, 3, 4]), []);
+    // It is told what is known without a check.
+    assert_eq!(case.due_answers(Links::Connected, Contact::default()), [(node(1), true)]);
+    case.now += CHECK_DELAY;
+    assert!(!case.state.needs_check(case.now));
+}
+
+#[test]
+fn what_is_known_of_others_is_forgotten_in_time() {
+    let mut case = Case::new();
+    (1..=2).for_each(|n| case.hear(n, Some(replied(case.now)), &[]));
+    assert_ne!(case.state.witnessed(), Contact::default());
+    case.now += ms(10_000);
+    case.state.expire(case.now);
+    assert_eq!(case.state.witnessed(), Contact::default());
+}
+
 /// Guards against nodes that ask only the strong ones, all of which may be cut off.
 #[test]
 fn strong_and_weak_peers_are_asked() {
--- a/crates/relay/src/reachability.rs
+++ b/crates/relay/src/reachability.rs
@@ -21,6 +21,7 @@
     let contact = contact(node);
     let (answers, needs_check) = {
         let mut reachability = node.reachability.lock();
+        reachability.expire(now);
         (reachability.due_answers(now, links, contact), reachability.needs_check(now))
     };
     for (to, reaches) in answers {
