The fixture reads the system's tables again only for open connections

Its logs show replies at a node whose links hung for 3 s, right after connections of nodes that check their links: for each that was closed by then the fixture read the tables five times, one after the other, so that older connections were not known, and not cut, for seconds. Closed connections are no longer looked up.

--- a/crates/balsamgate/tests/fleet/upstream_link.rs
+++ b/crates/balsamgate/tests/fleet/upstream_link.rs
@@ -7,6 +7,7 @@
 
 use std::{
     collections::HashMap,
+    mem::MaybeUninit,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -89,7 +90,11 @@
     owners: Arc<Mutex<Owners>>,
 ) {
     let accepted_at = Instant::now();
-    let process = tokio::task::spawn_blocking(move || owners.lock().find(from.port(), accepted_at));
+    let socket = socket2::SockRef::from(&near).try_clone().expect("an open socket");
+    let process = tokio::task::spawn_blocking(move || {
+        let is_open = || !matches!(socket.peek(&mut [MaybeUninit::uninit()]), Ok(0));
+        owners.lock().find(from.port(), accepted_at, is_open)
+    });
     // A process that no node has is never cut off.
     let process = async { process.await.ok().flatten().unwrap_or_default() };
     tokio::pin!(process);
@@ -141,9 +146,12 @@
 
 impl Owners {
     /// Returns the process that has opened the connection from `port`, which was accepted at
-    /// `accepted_at`.
-    fn find(&mut self, port: u16, accepted_at: Instant) -> Option<u32> {
+    /// `accepted_at`; `None` if that has closed it.
+    fn find(&mut self, port: u16, accepted_at: Instant, is_open: impl Fn() -> bool) -> Option<u32> {
         for _ in 0..MAX_READS {
+            if !is_open() {
+                return None;
+            }
             if self.read_at.is_none_or(|at| at < accepted_at) {
                 self.read_at = Some(Instant::now());
                 self.read();
