--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -10,6 +10,7 @@
 mod case_drain;
 mod case_entry;
 mod case_reader;
+mod case_restart;
 mod case_status;
 
 use std::{path::Path, process::exit, time::Duration};
@@ -82,6 +83,7 @@
         "drain" => case_drain::run(&record, trouble),
         "entry" => case_entry::run(&record, trouble),
         "reader" => case_reader::run(&record, trouble),
+        "restart" => case_restart::run(&record, trouble),
         "status" => case_status::run(&record, trouble),
         _ => Verdict::CannotRun,
     };
--- a/review/standin/node.rs
+++ b/review/standin/node.rs
@@ -3,7 +3,7 @@
 use std::{
     fs::File,
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     thread,
     time::{Duration, Instant},
@@ -51,6 +51,19 @@
     panic!("no free addresses");
 }
 
+/// Starts a node with the settings at `path`.
+fn spawn(path: &Path) -> std::io::Result<Child> {
+    let log = File::options().append(true).create(true).open(path.with_extension("log"))?;
+    Command::new(PROGRAM)
+        .args(["relay", "--settings"])
+        .arg(path)
+        .env("BALSAMGATE_NODE_FILE", path)
+        .stdin(Stdio::null())
+        .stdout(log.try_clone()?)
+        .stderr(log)
+        .spawn()
+}
+
 impl Nodes {
     /// Starts `count` nodes and waits until they are ready.
     pub fn start(count: usize, zones: &[&str], store: &Store, record: &Record) -> Option<Nodes> {
@@ -76,16 +89,7 @@
             );
             let path = nodes.directory.join(format!("settings-{n}.toml"));
             std::fs::write(&path, settings).expect("a settings file");
-            let log = File::create(nodes.directory.join(format!("log-{n}"))).expect("a log file");
-            let child = Command::new(PROGRAM)
-                .args(["relay", "--settings"])
-                .arg(&path)
-                .env("BALSAMGATE_NODE_FILE", &path)
-                .stdin(Stdio::null())
-                .stdout(log.try_clone().expect("a log file"))
-                .stderr(log)
-                .spawn();
-            match child {
+            match spawn(&path) {
                 Ok(child) => nodes.children.push(child),
                 Err(e) => {
                     record.say(&format!("{PROGRAM} does not start: {e}"));
@@ -107,6 +111,34 @@
         Some(nodes)
     }
 
+    /// Kills node `n`.
+    pub fn kill(&mut self, n: usize) {
+        let _ = self.children[n].kill();
+        let _ = self.children[n].wait();
+    }
+
+    /// Starts node `n` again after it was killed.
+    pub fn restart(&mut self, n: usize) -> bool {
+        let path = self.directory.join(format!("settings-{n}.toml"));
+        match spawn(&path) {
+            Ok(child) => self.children[n] = child,
+            Err(_) => return false,
+        }
+        true
+    }
+
+    /// Waits until node `n` is ready.
+    pub fn wait_ready(&self, n: usize) -> bool {
+        let start = Instant::now();
+        while !self.is_ready(n) {
+            if start.elapsed() > Duration::from_secs(10) {
+                return false;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        true
+    }
+
     pub fn callers(&self, n: usize) -> SocketAddr {
         (self.addresses[n % self.addresses.len()], CALLERS).into()
     }
