--- a/review/standin/case_drain.rs
+++ b/review/standin/case_drain.rs
@@ -60,7 +60,8 @@
             let request = Request { id: &id, path: &path, body: Some(&body), timeout: TIMEOUT };
             let at = Instant::now();
             log.line(&format!("client sends {id} to node {node}"));
-            let answer = client::connect(address).and_then(|mut c| client::exchange(&mut c, &request));
+            let answer =
+                client::connect(address).and_then(|mut c| client::exchange(&mut c, &request));
             let outcome = client::outcome(&answer);
             log.line(&format!("client gets for {id}: {outcome}"));
             sent.lock().unwrap().insert(id, (node, at, outcome));
@@ -109,5 +110,9 @@
         "{late} requests reached the draining server later than drain-ms; {lost} of them began to \
          run there and were cut off as it left"
     ));
-    if late > 0 { Verdict::Broken } else { Verdict::Held }
+    if late > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/standin/case_entry.rs
+++ b/review/standin/case_entry.rs
@@ -116,6 +116,12 @@
             ));
         }
     }
-    record.say(&format!("{wrong} requests were run by a service that no configuration names for them"));
-    if wrong > 0 { Verdict::Broken } else { Verdict::Held }
+    record.say(&format!(
+        "{wrong} requests were run by a service that no configuration names for them"
+    ));
+    if wrong > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/standin/case_reader.rs
+++ b/review/standin/case_reader.rs
@@ -163,7 +163,13 @@
             ));
         }
     }
-    record.say(&format!("{lost} of {CLIENTS} requests of kept connections were closed without the answer"));
+    record.say(&format!(
+        "{lost} of {CLIENTS} requests of kept connections were closed without the answer"
+    ));
     // The rule allows three.
-    if lost > 3 { Verdict::Broken } else { Verdict::Held }
+    if lost > 3 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/standin/case_restart.rs
+++ b/review/standin/case_restart.rs
@@ -148,5 +148,9 @@
         "{late} requests reached the draining server later than drain-ms, sent on by a machine in \
          touch; {lost} of them were cut off as it left"
     ));
-    if late > 0 { Verdict::Broken } else { Verdict::Held }
+    if late > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/standin/case_status.rs
+++ b/review/standin/case_status.rs
@@ -45,7 +45,8 @@
         let (id, path) = (format!("r-{n:03}"), format!("/goka902/{n}"));
         let request = Request { id: &id, path: &path, body: Some(b"sheet"), timeout: TIMEOUT };
         record.line(&format!("client sends {id}: POST {path}"));
-        let answer = client::connect(nodes.callers(n)).and_then(|mut c| client::exchange(&mut c, &request));
+        let answer =
+            client::connect(nodes.callers(n)).and_then(|mut c| client::exchange(&mut c, &request));
         record.line(&format!("client gets for {id}: {}", client::outcome(&answer)));
         let is_refusal = answer.as_ref().is_ok_and(|a| [408, 421, 429, 503].contains(&a.status()));
         let ran = all.iter().flat_map(|s| s.arrivals()).any(|a| a.id == id && a.ran);
@@ -55,5 +56,9 @@
         }
     }
     record.say(&format!("{refused} requests that had run were answered as not run"));
-    if refused > 0 { Verdict::Broken } else { Verdict::Held }
+    if refused > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -43,7 +43,10 @@
     let route = |r: &Route| {
         format!(
             r#"{{"name":"{}","host":"{}","prefix":"{}","type":"unsafe","timeout-ms":8000,"goal-ms":500,"priority":2,"service":"{}","max-attempts":2}}"#,
-            r.name, client::HOST, r.prefix, r.service
+            r.name,
+            client::HOST,
+            r.prefix,
+            r.service
         )
     };
     let service = |r: &Route| {
--- a/review/standin/node.rs
+++ b/review/standin/node.rs
@@ -155,7 +155,6 @@
         let mut connection = Connection::new(stream);
         let sent = connection.write("GET /api/ready HTTP/1.1", &[("Host", "node")], b"");
         let deadline = Instant::now() + Duration::from_secs(1);
-        sent.is_ok()
-            && matches!(connection.read(Some(deadline)), Ok(Some(m)) if m.status() == 200)
+        sent.is_ok() && matches!(connection.read(Some(deadline)), Ok(Some(m)) if m.status() == 200)
     }
 }
