--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins and scenarios of the review's cases. Usage: standin CASE RECORD
 
 mod client;
+mod cut;
 mod http;
 mod node;
 mod record;
@@ -10,8 +11,8 @@
 mod case_drain;
 mod case_entry;
 mod case_reader;
+mod case_relay;
 mod case_restart;
-mod case_status;
 
 use std::{path::Path, process::exit, time::Duration};
 
@@ -40,9 +41,15 @@
 
 /// Configuration with `routes` of kind `unsafe`, with the figures of `sdsfetch`.
 pub fn config(version: u64, routes: &[Route]) -> String {
+    let kind = r#""type":"unsafe","timeout-ms":8000,"goal-ms":500,"priority":2,"max-attempts":2"#;
+    config_of(kind, version, routes)
+}
+
+/// Configuration with `routes` of `kind`.
+pub fn config_of(kind: &str, version: u64, routes: &[Route]) -> String {
     let route = |r: &Route| {
         format!(
-            r#"{{"name":"{}","host":"{}","prefix":"{}","type":"unsafe","timeout-ms":8000,"goal-ms":500,"priority":2,"service":"{}","max-attempts":2}}"#,
+            r#"{{"name":"{}","host":"{}","prefix":"{}",{kind},"service":"{}"}}"#,
             r.name,
             client::HOST,
             r.prefix,
@@ -55,7 +62,12 @@
             r.service, r.max_conns
         )
     };
-    let list = |f: &dyn Fn(&Route) -> String| routes.iter().map(f).collect::<Vec<_>>().join(",");
+    let list = |f: &dyn Fn(&Route) -> String| {
+        let mut items: Vec<String> = routes.iter().map(f).collect();
+        items.sort();
+        items.dedup();
+        items.join(",")
+    };
     format!(
         r#"{{"version":{version},"routes":[{}],"services":[{}],"limits":{{"max-header-bytes":16384,"max-body-bytes":262144,"header-timeout-ms":3000,"idle-timeout-ms":15000}}}}"#,
         list(&route),
@@ -86,8 +98,8 @@
         "drain" => case_drain::run(&record, trouble),
         "entry" => case_entry::run(&record, trouble),
         "reader" => case_reader::run(&record, trouble),
+        "relay" => case_relay::run(&record, trouble),
         "restart" => case_restart::run(&record, trouble),
-        "status" => case_status::run(&record, trouble),
         _ => Verdict::CannotRun,
     };
     // A panic of the stand-ins is no result. Unwinding ends the nodes.
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -11,6 +11,7 @@
 };
 
 use crate::{
+    cut,
     http::{Connection, Message},
     record::Record,
     store::Store,
@@ -96,6 +97,10 @@
                 if accepting.has_ended() {
                     return;
                 }
+                if cut::is_cut(&stream) {
+                    cut::reset(&stream);
+                    continue;
+                }
                 let shared = accepting.shared.clone();
                 shared.streams.lock().unwrap().extend(stream.try_clone());
                 thread::spawn(move || shared.serve(Connection::new(stream)));
@@ -171,6 +176,17 @@
         }
     }
 
+    /// Resets the connections of the node that is cut off.
+    pub fn reset_cut(&self) {
+        self.shared.streams.lock().unwrap().retain(|stream| {
+            let is_cut = cut::is_cut(stream);
+            if is_cut {
+                cut::reset(stream);
+            }
+            !is_cut
+        });
+    }
+
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.shared.arrivals.lock().unwrap().clone()
     }
