A removal that is reported twice leaves its upstream a last resort

A pool whose only upstream's entry lapsed for a moment had no upstream for up to 2 s, and callers got 503, on nodes that had just read all values again: a listing reports a removal as of its oldest page, and the watch that follows reports it once more at its own revision. The second report found no entry and dropped the upstream that was kept as a last resort.

A second removal now keeps what the first one retained, with the first one's time. The test of the policy failed before (no last resort) and holds now.

--- a/crates/policy/src/relay/registry.rs
+++ b/crates/policy/src/relay/registry.rs
@@ -307,13 +307,20 @@
             }
             Change::Unusable | Change::Evacuated(_) => None,
             Change::Removed => {
-                if let Some(entry) = old_entry {
-                    departure = Departure::latest(departure, Departure::of(&entry));
-                    retained = (!entry.draining).then(|| Retained {
-                        entry,
-                        until: now + self.removal_grace,
-                        availability: Availability::LastResort,
-                    });
+                match old_entry {
+                    Some(entry) => {
+                        departure = Departure::latest(departure, Departure::of(&entry));
+                        retained = (!entry.draining).then(|| Retained {
+                            entry,
+                            until: now + self.removal_grace,
+                            availability: Availability::LastResort,
+                        });
+                    }
+                    // A listing reports a removal as of an earlier revision than the watch after it.
+                    None => {
+                        let removed = old.filter(|s| s.change == Change::Removed);
+                        retained = removed.and_then(|s| s.retained.clone());
+                    }
                 }
                 None
             }
--- a/crates/policy/tests/relay_registry.rs
+++ b/crates/policy/tests/relay_registry.rs
@@ -68,6 +68,20 @@
     assert!(REMOVAL_GRACE < DRAIN);
 }
 
+/// Guards against a pool left without upstreams because a listing and the watch after it both report
+/// that an entry was removed.
+#[test]
+fn a_removal_that_is_reported_twice_leaves_its_upstream_a_last_resort() {
+    let now = Instant::now();
+    let mut registry = Registry::new(DRAIN);
+    registry.apply(now, vec![put("a", 1), put("b", 2)], Revision(2));
+    registry.replace(now, vec![put("b", 2)], Revision(4));
+    registry.apply(now, vec![event("a", 5, Change::Removed)], Revision(5));
+    assert_eq!(usable(&registry), [("a".to_owned(), Availability::LastResort), ready("b")]);
+    registry.expire_removed(now + REMOVAL_GRACE);
+    assert_eq!(usable(&registry), [ready("b")]);
+}
+
 #[test]
 fn a_process_has_gone_once_its_entry_is_removed_without_a_drain_and_not_retained() {
     let now = Instant::now();
