Data is as old as the start of its listing

A node that read all values again announced them as new as of the end of the listing. The pages before the last one are as old as their calls, on a slow store by a second and more, so that nodes which rely on this one's age could take a change for known that it had not read yet.

The time before the first call counts now.

--- a/crates/relay/src/platform_watch.rs
+++ b/crates/relay/src/platform_watch.rs
@@ -188,6 +188,7 @@
     if call == Call::ReadAll {
         let is_loaded = node.registry_loaded.load(Ordering::Relaxed);
         let stale = !is_seed(node) && !is_loaded;
+        let asked_at = node.now();
         let read = node.platform.read(stale);
         let changes = match is_loaded {
             true => read.await?,
@@ -197,7 +198,8 @@
         };
         apply_changes(node, changes, true)?;
         if !stale {
-            record_data_time(node, Some(node.now()));
+            // The first page may be as old as the call.
+            record_data_time(node, Some(asked_at));
         }
         return Ok(());
     }
--- a/crates/relay/tests/platform_watch.rs
+++ b/crates/relay/tests/platform_watch.rs
@@ -30,6 +30,8 @@
 const APPLY: Duration = Duration::from_secs(3);
 /// Time in which the service answers a call.
 const LATENCY: Duration = Duration::from_millis(4);
+/// Time that a listing of many pages takes.
+const LISTING_TIME: Duration = Duration::from_millis(1_200);
 /// Time after which the client of the service gives up on an answer, beyond a watch's wait.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -44,6 +46,8 @@
     Busy,
     /// Answers reads, and has no history for any watch.
     Forgetful,
+    /// The same, with listings that take [`LISTING_TIME`].
+    SlowListing,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -89,7 +93,10 @@
         tokio::time::sleep(LATENCY).await;
         match mode {
             Mode::Busy => return Err(SourceError::Unavailable("busy".to_owned())),
-            Mode::Forgetful if after > 0 => return Err(SourceError::Compacted),
+            Mode::Forgetful | Mode::SlowListing if after > 0 => return Err(SourceError::Compacted),
+            Mode::SlowListing => {
+                tokio::time::sleep(LISTING_TIME).await;
+            }
             _ => {}
         }
         let mut state = self.state.subscribe();
@@ -229,3 +236,21 @@
         calls_before = calls;
     }
 }
+
+/// Guards against data that is announced as newer than its oldest page.
+#[tokio::test(start_paused = true)]
+async fn data_is_as_old_as_the_start_of_its_listing() {
+    let testbed = Testbed::start(Duration::from_secs(5)).await;
+    testbed.service.set_mode(Mode::SlowListing);
+    // The watch in flight delivers the first of them, a listing the second.
+    for generation in [2, 3] {
+        testbed.service.publish(generation);
+        let start = tokio::time::Instant::now();
+        while testbed.generation() != generation {
+            tokio::time::sleep(LATENCY).await;
+            assert!(start.elapsed() < 10 * LISTING_TIME, "generation {generation} is in force");
+        }
+    }
+    let age = testbed.node.platform_data_age().expect("data from the service");
+    assert!(age >= LISTING_TIME, "{age:?}");
+}
