Count and log connections that the system ends

So three causes could not be told apart: the system's bound on unacknowledged bytes, the node's own bound on slow readers, and a connection that is closed as idle.

The counter connections_failed and, for ends that gave no sign of life, a log line with the request and the system's error now tell them apart.

--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -33,6 +33,8 @@
     pub replies_cut: IntCounterVec,
     /// Connections closed because the other end read too slowly, by cause and reader.
     pub slow_readers: IntCounterVec,
+    /// Connections that the system ended, by cause and by who the other end is.
+    pub connections_failed: IntCounterVec,
     /// Calls to the platform by result.
     pub platform_calls: IntCounterVec,
     /// Values published by the platform that were rejected.
@@ -148,6 +150,10 @@
                 let help = "Connections closed because the other end read too slowly";
                 counters(&r, "slow_readers_total", help, &["cause", "reader"])
             },
+            connections_failed: {
+                let help = "Connections that the system ended";
+                counters(&r, "connections_failed_total", help, &["cause", "reader"])
+            },
             platform_calls: counters(&r, "platform_calls_total", "Platform calls", &["result"]),
             invalid_values: {
                 let help = "Values in the platform's service that were of no use";
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -39,6 +39,16 @@
     Upstream,
 }
 
+impl Reader {
+    /// Name in logs and metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Reader::Caller => "caller",
+            Reader::Upstream => "upstream",
+        }
+    }
+}
+
 /// What is written on a connection, and how fast the other end reads it.
 #[derive(Debug)]
 pub(crate) struct Flow {
@@ -132,6 +142,9 @@
         }
         match write(Pin::new(&mut self.stream), cx) {
             Poll::Ready(written) => {
+                if let Err(e) = &written {
+                    self.record_failure(e);
+                }
                 self.unblock();
                 self.flow.state.lock().transfer.written += *written.as_ref().unwrap_or(&0);
                 Poll::Ready(written)
@@ -178,15 +191,33 @@
         }
     }
 
+    /// Counts that the system has ended the connection, and logs it if the other end gave no sign of
+    /// life.
+    fn record_failure(&self, error: &io::Error) {
+        let node = &self.node;
+        let cause = match error.kind() {
+            io::ErrorKind::TimedOut => "silent",
+            io::ErrorKind::ConnectionReset | io::ErrorKind::BrokenPipe => "reset",
+            _ => "other",
+        };
+        let reader = self.reader.name();
+        node.metrics.connections_failed.with_label_values(&[cause, reader]).inc();
+        let now = node.now();
+        if cause == "silent" && node.log_limiter.allows(now, LogKind::SlowReader) {
+            let State { transfer, request_id } = &*self.flow.state.lock();
+            let request = request_id.as_ref().map(request_log::id_text);
+            let age_ms = now.saturating_duration_since(transfer.started_at).as_millis() as u64;
+            let peer = self.peer.map(|p| p.to_string());
+            tracing::warn!(request, reader, peer, cause = %error, age_ms, "lost a connection");
+        }
+    }
+
     /// Records that the other end is cut off. Its connection is reset, so that what the system still
     /// holds for it is released as well.
     fn close(&mut self, cause: &'static str) -> io::Error {
         // Fails only if the connection has ended.
         let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
-        let reader = match self.reader {
-            Reader::Caller => "caller",
-            Reader::Upstream => "upstream",
-        };
+        let reader = self.reader.name();
         let node = &self.node;
         node.metrics.slow_readers.with_label_values(&[cause, reader]).inc();
         let now = node.now();
@@ -223,7 +254,11 @@
         cx: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buffer)
+        let result = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        if let Poll::Ready(Err(e)) = &result {
+            self.record_failure(e);
+        }
+        result
     }
 }
 
