Tell ends without room from silent ones

Cause: TCP_USER_TIMEOUT, 2.5 s. Linux also counts the time for which a receiver has no room. It was raised only while a write was blocked, and a message that fits into the send buffer never blocks one.

Evidence: 'Connection timed out (os error 110)' for each lost answer, and no line of a reader that the node had cut off; the option is the only one that ends a connection so.

The option is no longer set. A node asks the system (TCP_INFO) whether an end owes an acknowledgement: a live one acknowledges probes even without room, a dead one does not. An end that owes one for 2.5 s in two checks in a row is silent, within 3 s of the write; idle ends are probed as before, and the number of probes decides. Memory stays bounded: a caller past its time that takes nothing for 2.5 s is cut off, also if the system holds the rest; an upstream or peer that blocks a write is cut off at the deadline of the attempt; the rest of a closed connection is kept for 60 s without progress. The connections of nodes that relay for each other have the same bounds now.

Tests of processes that failed before and hold: answers that are read late on kept connections (paces from 1 s to 5 s, the last part of a blocked write among them), after a close, over a planned stop; a request that is read late.

--- a/crates/balsamgate/tests/fleet/mod.rs
+++ b/crates/balsamgate/tests/fleet/mod.rs
@@ -335,6 +335,7 @@
         search_pools: (0..pools).map(pool).collect(),
         min_share: 0.6,
         once_pool: "single".to_owned(),
+        once_timeout: Duration::from_secs(2),
         marker_prefix: format!("/mark-{version}/"),
         cold: None,
     }
--- a/crates/balsamgate/tests/slow_readers.rs
+++ b/crates/balsamgate/tests/slow_readers.rs
@@ -12,9 +12,9 @@
 use fleet::{Fleet, HOST, config, eventually, upstreams};
 use futures::future::join_all;
 use platform_standin::{
-    caller::{Answer, CONFIG_KEY, CallerRequest, Connection, RequestError},
+    caller::{Answer, CONFIG_KEY, CallerRequest, Config, Connection, RequestError},
     store::Store,
-    unread::{SlowCaller, UnreadUpstream},
+    unread::{SlowCaller, SlowUpstream, UnreadUpstream},
     upstream::{Faults, Upstream},
 };
 use tokio_util::sync::CancellationToken;
@@ -53,9 +53,13 @@
 
 /// A node with one search pool. Upstreams of the pool `single` reply with `padding` more bytes.
 async fn testbed(padding: usize) -> Testbed {
+    testbed_with(padding, config(1, 1)).await
+}
+
+async fn testbed_with(padding: usize, config: Config) -> Testbed {
     let cancel = CancellationToken::new();
     let store = Store::start(cancel.clone()).await.expect("a store");
-    store.put(CONFIG_KEY, config(1, 1).to_json().as_bytes());
+    store.put(CONFIG_KEY, config.to_json().as_bytes());
     let upstreams = upstreams(&store, 1, 2).await;
     for upstream in upstreams.iter().filter(|u| u.pool() == "single") {
         upstream.set_faults(Faults { padding, ..Faults::default() });
@@ -129,6 +133,89 @@
     assert!(read.as_ref().is_ok_and(|r| *r >= LARGE_BYTES), "{read:?}");
 }
 
+/// Deadline of requests whose answers are read within it.
+const LONG_TIMEOUT: Duration = Duration::from_secs(12);
+
+/// Sends two requests on one connection and reads their answers of about `bytes` as told.
+async fn check_late_reader(bytes: usize, wait: Duration, size: usize, pause: Duration) {
+    let config = Config { once_timeout: LONG_TIMEOUT, ..config(1, 1) };
+    let testbed = testbed_with(bytes, config).await;
+    let mut caller =
+        SlowCaller::connect(testbed.fleet.nodes[0].callers()).await.expect("a connection");
+    for id in ["first", "second"] {
+        let request = CallerRequest { timeout: LONG_TIMEOUT, ..request("/once/late", id) };
+        caller.send_more(&request).await.expect("the request is sent");
+        let read = caller.read_answer(wait, size, pause).await;
+        let case = format!("{id}, {bytes} bytes, {size} bytes each {pause:?} after {wait:?}");
+        assert!(read.as_ref().is_ok_and(|r| *r >= bytes), "{case}: {read:?}");
+    }
+}
+
+/// Guards against a system that ends the connection of a caller without room within its deadline.
+#[tokio::test(flavor = "multi_thread")]
+async fn answers_that_fit_the_connections_buffer_are_kept_for_callers_that_read_late() {
+    let seconds = Duration::from_secs;
+    tokio::join!(
+        check_late_reader(12_000, seconds(0), 2_500, seconds(1)),
+        check_late_reader(60_000, seconds(5), 64 << 10, seconds(0)),
+        check_late_reader(7_000, seconds(0), 4_000, seconds(3)),
+        // The last part lies in the buffer after a blocked write.
+        check_late_reader(200_000, seconds(4), 64 << 10, Duration::from_millis(5)),
+    );
+}
+
+/// Guards against an answer that is lost with its connection's end while its caller has no room.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_is_kept_for_a_caller_that_reads_late_after_its_connection_was_closed() {
+    let config = Config { once_timeout: LONG_TIMEOUT, ..config(1, 1) };
+    let testbed = testbed_with(60_000, config).await;
+    let mut caller = testbed.slow("closed").await;
+    let read = caller.read_answer(Duration::from_secs(5), 64 << 10, Duration::ZERO).await;
+    assert!(read.as_ref().is_ok_and(|r| *r >= 60_000), "{read:?}");
+}
+
+/// Guards against an answer that is lost as its node stops while the caller has no room.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_is_kept_for_a_caller_that_reads_late_over_a_planned_stop() {
+    let config = Config { once_timeout: LONG_TIMEOUT, ..config(1, 1) };
+    let mut testbed = testbed_with(60_000, config).await;
+    let mut caller =
+        SlowCaller::connect(testbed.fleet.nodes[0].callers()).await.expect("a connection");
+    let request = CallerRequest { timeout: LONG_TIMEOUT, ..request("/once/late", "stop") };
+    caller.send_more(&request).await.expect("the request is sent");
+    eventually("the answer waits for its caller", async || testbed.has_run("stop")).await;
+    testbed.fleet.nodes[0].signal("-TERM");
+    let code = testbed.fleet.nodes[0].wait_exit(fleet::WAIT_LIMIT).await;
+    assert_eq!(code, Some(0));
+    let read = caller.read_answer(Duration::from_secs(4), 64 << 10, Duration::ZERO).await;
+    assert!(read.as_ref().is_ok_and(|r| *r >= 60_000), "{read:?}");
+}
+
+/// Guards against a request that is lost as its upstream is slow to read a body that the connection's
+/// buffer holds.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_is_kept_for_an_upstream_that_reads_late() {
+    let config = Config { once_timeout: LONG_TIMEOUT, ..config(1, 1) };
+    let testbed = testbed_with(0, config).await;
+    let (store, cancel) = (&testbed.store, testbed.cancel.clone());
+    let pause = Duration::from_secs(5);
+    let slow = SlowUpstream::start("single", "i-late", pause, store, cancel).await;
+    let slow = slow.expect("an upstream");
+    testbed.upstreams.iter().filter(|u| u.pool() == "single").for_each(|u| u.crash(true));
+    let log = || testbed.fleet.nodes[0].log_text();
+    eventually("only the slow upstream is left", async || {
+        log().contains("i-late") && log().matches("registry entry has gone").count() == 2
+    })
+    .await;
+    tokio::time::sleep(policy::relay::registry::REMOVAL_GRACE).await;
+    let body = Bytes::from(vec![1; 60_000]);
+    let request =
+        CallerRequest { body, timeout: LONG_TIMEOUT, ..request("/once/late", "late-body") };
+    let answer = testbed.send(&request).await;
+    assert!(answer.as_ref().is_ok_and(|a| a.status == 200), "{answer:?}");
+    assert_eq!(slow.requests(), 1);
+}
+
 /// A caller that reads some bytes now and then would hold its answer for hours.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_caller_that_hardly_reads_is_cut_off() {
--- a/crates/policy/src/relay.rs
+++ b/crates/policy/src/relay.rs
@@ -8,6 +8,7 @@
 pub mod completed;
 pub mod crash_quarantine;
 pub mod crash_suspects;
+pub mod delivery;
 pub mod demand;
 pub mod explain;
 pub mod isolation;
--- a/crates/relay/src/http_server.rs
+++ b/crates/relay/src/http_server.rs
@@ -15,7 +15,7 @@
 use http::{HeaderValue, Request, Response, StatusCode, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::TokioIo;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::{
@@ -133,10 +133,13 @@
             }
             continue;
         }
-        if let Err(e) = socket::set_options(&stream) {
-            tracing::debug!(cause = %e, "failed to set the options of a connection; closed it");
-            continue;
-        }
+        let stream = match socket::Stream::new(stream) {
+            Ok(stream) => stream,
+            Err(e) => {
+                tracing::debug!(cause = %e, "failed to set the options of a connection; closed it");
+                continue;
+            }
+        };
         tasks.spawn(serve_connection(node.clone(), handler.clone(), stream, stop.clone()));
     }
 }
@@ -177,7 +180,7 @@
 async fn serve_connection(
     node: Arc<Node>,
     handler: Arc<dyn Handler>,
-    stream: TcpStream,
+    stream: socket::Stream,
     stop: CancellationToken,
 ) {
     let origin = node.now();
--- a/crates/relay/src/isolation.rs
+++ b/crates/relay/src/isolation.rs
@@ -40,6 +40,7 @@
     reachability, request_log,
     response::{self, Body},
     socket,
+    stream::{Flow, Reader, WatchedStream},
 };
 
 /// Time for which a new connection must stay open to count as accepted: what cuts a node off may
@@ -89,25 +90,30 @@
     }
 }
 
-type Sender = SendRequest<Full<Bytes>>;
+/// A connection to a peer.
+#[derive(Debug)]
+struct RelayConnection {
+    sender: SendRequest<Full<Bytes>>,
+    flow: Arc<Flow>,
+}
 
 /// Idle connections to peers, with the times from which they are idle.
 #[derive(Debug, Default)]
-pub(crate) struct RelayConnections(Mutex<FastMap<SocketAddr, Vec<(Sender, Instant)>>>);
+pub(crate) struct RelayConnections(Mutex<FastMap<SocketAddr, Vec<(RelayConnection, Instant)>>>);
 
 impl RelayConnections {
-    fn pop(&self, now: Instant, peer: SocketAddr) -> Option<Sender> {
+    fn pop(&self, now: Instant, peer: SocketAddr) -> Option<RelayConnection> {
         let mut idle = self.0.lock();
         let connections = idle.get_mut(&peer)?;
         connections.retain(|(_, since)| now.saturating_duration_since(*since) < IDLE_TIMEOUT);
-        connections.pop().map(|(sender, _)| sender)
+        connections.pop().map(|(connection, _)| connection)
     }
 
-    fn push(&self, now: Instant, peer: SocketAddr, sender: Sender) {
+    fn push(&self, now: Instant, peer: SocketAddr, connection: RelayConnection) {
         let mut idle = self.0.lock();
         let connections = idle.entry(peer).or_default();
         if connections.len() < MAX_IDLE {
-            connections.push((sender, now));
+            connections.push((connection, now));
         }
     }
 
@@ -451,16 +457,19 @@
     body: &Bytes,
     deadline: Instant,
 ) -> Result<(Response<Bytes>, Reservation), Failure> {
-    let mut sender = connect(node, peer).await?;
-    let left = deadline.saturating_duration_since(node.now());
+    let mut connection = connect(node, peer).await?;
+    let now = node.now();
+    let left = deadline.saturating_duration_since(now);
     if left.is_zero() {
         return Err(Failure::NotSent("no time was left to send it".to_owned()));
     }
+    // The caller's request holds the body.
+    connection.flow.start(now, deadline, 0, None);
     let mut head = forward::attempt_head(head);
     node.codec.write_relayed(&mut head.headers, left);
     let request = Request::from_parts(head, Full::new(body.clone()));
     let exchange = async {
-        let response = sender.try_send_request(request).await.map_err(|mut e| {
+        let response = connection.sender.try_send_request(request).await.map_err(|mut e| {
             // hyper returns the message only if it has written nothing of it.
             let unsent = e.take_message().is_some();
             let cause = connection::error_chain(e.error());
@@ -477,21 +486,23 @@
         () = node.end_requests.cancelled() => return Err(Failure::TimedOut),
     };
     let answer = answer.map_err(|_| Failure::TimedOut)??;
-    if sender.ready().await.is_ok() {
-        node.relay_connections.push(node.now(), peer, sender);
+    if connection.sender.ready().await.is_ok() {
+        node.relay_connections.push(node.now(), peer, connection);
     }
     Ok(answer)
 }
 
-async fn connect(node: &Node, peer: SocketAddr) -> Result<Sender, Failure> {
-    while let Some(mut sender) = node.relay_connections.pop(node.now(), peer) {
-        if sender.ready().await.is_ok() {
-            return Ok(sender);
+async fn connect(node: &Arc<Node>, peer: SocketAddr) -> Result<RelayConnection, Failure> {
+    while let Some(mut connection) = node.relay_connections.pop(node.now(), peer) {
+        if connection.sender.ready().await.is_ok() {
+            return Ok(connection);
         }
     }
     let not_sent = |cause: String| Failure::NotSent(cause);
     let stream = socket::connect(peer, CONNECT_TIMEOUT).await;
     let stream = stream.map_err(|e| not_sent(e.to_string()))?;
+    let stream = WatchedStream::new(node.clone(), Reader::Peer, stream);
+    let flow = stream.flow();
     let mut builder = http1::Builder::new();
     let handshake = builder.max_buf_size(MAX_HEAD_BYTES).handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|e| not_sent(e.to_string()))?;
@@ -499,5 +510,5 @@
         // An error also reaches the request that uses the connection.
         let _ = connection.await;
     });
-    Ok(sender)
+    Ok(RelayConnection { sender, flow })
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -29,3 +29,4 @@
 pub mod socket;
 mod stream;
 pub mod supervisor;
+mod tcp_info;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -16,11 +16,9 @@
 use futures::task::AtomicWaker;
 use http::HeaderValue;
 use parking_lot::Mutex;
-use policy::relay::memory::Transfer;
-use socket2::SockRef;
+use policy::relay::{delivery, memory::Transfer};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
     time::Sleep,
 };
 
@@ -30,13 +28,15 @@
 /// VM is noticed.
 const MAX_SLEEP: Duration = Duration::from_millis(500);
 
-/// Which end of the node's connections reads.
+/// Who reads what the node writes to a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Reader {
     /// A caller, which reads answers. It is cut off once its answer is of no more use to it.
     Caller,
-    /// An upstream, which reads requests. The deadline of its attempt ends the connection.
+    /// An upstream, which reads requests. It is cut off at the deadline of its attempt.
     Upstream,
+    /// A peer, which reads requests that it is to serve. It is cut off at their deadline.
+    Peer,
 }
 
 impl Reader {
@@ -45,6 +45,7 @@
         match self {
             Reader::Caller => "caller",
             Reader::Upstream => "upstream",
+            Reader::Peer => "peer",
         }
     }
 }
@@ -115,13 +116,13 @@
     reader: Reader,
     peer: Option<SocketAddr>,
     flow: Arc<Flow>,
-    stream: TcpStream,
+    stream: socket::Stream,
     /// Set while the other end has to read before more can be written.
     blocked: Option<Pin<Box<Sleep>>>,
 }
 
 impl WatchedStream {
-    pub(crate) fn new(node: Arc<Node>, reader: Reader, stream: TcpStream) -> WatchedStream {
+    pub(crate) fn new(node: Arc<Node>, reader: Reader, stream: socket::Stream) -> WatchedStream {
         let flow = Flow::new(node.now());
         let peer = stream.peer_addr().ok();
         WatchedStream { node, reader, peer, flow, stream, blocked: None }
@@ -135,7 +136,7 @@
     fn write(
         &mut self,
         cx: &mut Context<'_>,
-        write: impl FnOnce(Pin<&mut TcpStream>, &mut Context<'_>) -> Poll<io::Result<usize>>,
+        write: impl FnOnce(Pin<&mut socket::Stream>, &mut Context<'_>) -> Poll<io::Result<usize>>,
     ) -> Poll<io::Result<usize>> {
         if self.flow.transfer().is_cut {
             return Poll::Ready(Err(self.close("full")));
@@ -153,19 +154,19 @@
         }
     }
 
-    /// Waits until the other end has read, or a caller's time has passed.
+    /// Waits until the other end has read, or until it has no use for the message any more.
     fn wait(&mut self, cx: &mut Context<'_>) -> Poll<io::Error> {
         self.flow.writer.register(cx.waker());
         if self.blocked.is_none() {
             self.node.body_memory.block(&self.flow);
-            self.set_unread_timeout(false);
         }
         let transfer = self.flow.transfer();
         loop {
-            let left = match self.reader {
-                Reader::Caller => transfer.due().saturating_duration_since(self.node.now()),
-                Reader::Upstream => Duration::MAX,
+            let due = match self.reader {
+                Reader::Caller => transfer.due(),
+                Reader::Upstream | Reader::Peer => transfer.deadline,
             };
+            let left = due.saturating_duration_since(self.node.now());
             if left.is_zero() {
                 return Poll::Ready(self.close("late"));
             }
@@ -180,14 +181,21 @@
     fn unblock(&mut self) {
         if self.blocked.take().is_some() {
             self.node.body_memory.unblock(&self.flow);
-            self.set_unread_timeout(true);
         }
     }
 
-    fn set_unread_timeout(&self, is_usual: bool) {
-        if self.reader == Reader::Caller {
-            // Fails only if the connection has ended.
-            let _ = socket::set_unread_timeout(&self.stream, is_usual);
+    /// Fails if the other end is a caller whose time has passed and that takes no more of its answer,
+    /// the rest of which the system holds.
+    fn check_unread(&mut self) -> io::Result<()> {
+        if self.reader != Reader::Caller {
+            return Ok(());
+        }
+        let Some(since) = self.stream.stalled_since() else { return Ok(()) };
+        let now = self.node.now();
+        let is_stalled = now.saturating_duration_since(since) >= delivery::SILENCE_LIMIT;
+        match is_stalled && self.flow.transfer().due() <= now {
+            true => Err(self.close("late")),
+            false => Ok(()),
         }
     }
 
@@ -215,8 +223,8 @@
     /// Records that the other end is cut off. Its connection is reset, so that what the system still
     /// holds for it is released as well.
     fn close(&mut self, cause: &'static str) -> io::Error {
-        // Fails only if the connection has ended.
-        let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        self.stream.discard_on_close();
+        self.flow.state.lock().transfer.is_cut = true;
         let reader = self.reader.name();
         let node = &self.node;
         node.metrics.slow_readers.with_label_values(&[cause, reader]).inc();
@@ -255,6 +263,7 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let result = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        self.check_unread()?;
         if let Poll::Ready(Err(e)) = &result {
             self.record_failure(e);
         }
