No caller loses an answer to a reply without end

Callers that were reading an answer had their connection reset while an upstream sent bodies that did not end.

Cause: a reply that needs room has slow readers cut off for it, whatever it is. Many replies of up to 64 KiB, or one beyond half of the buffer, evicted readers that were within the buffer, though they were cut themselves a moment later.

A reply without a stated length now has readers cut off only up to an equal part of half of the buffer, 64 KiB at most; beyond, it uses what is free of that half and is cut otherwise. So all of them together take at most half of the buffer from readers. Ordinary replies and stated lengths keep their rights against readers that do not read.

--- a/crates/balsamgate/tests/fleet/mod.rs
+++ b/crates/balsamgate/tests/fleet/mod.rs
@@ -234,6 +234,10 @@
         });
         let seeds = (0..count.min(3)).map(|n| format!("{}:{PEER_PORT}", subnet.node(n)));
         let seeds = seeds.collect::<Vec<_>>();
+        let limits = match log.contains("[limits]") {
+            true => "",
+            false => "[limits]\nbuffer = 1048576\n",
+        };
         let node = |n: u8| {
             let settings = directory.join(format!("node-{n}.ini"));
             let (ip, zone) = (subnet.node(n), ZONES[usize::from(n) % ZONES.len()]);
@@ -248,8 +252,7 @@
                  peers = {ip}:{peer_port}\nmetrics = {ip}:7105\n\
                  [fleet]\nseeds = {}\n{advertise}[platform]\naddress = {store}\n\
                  [bounds]\n{bounds}apply = 3 s\ndrain = {} ms\ngrace = {} ms\n\
-                 [extra]\nratio = 0.2\nslack = 100\n[limits]\nbuffer = 1048576\n\
-                 [log]\n{log}\n",
+                 [extra]\nratio = 0.2\nslack = 100\n{limits}[log]\n{log}\n",
                 cores[usize::from(n)],
                 seeds.join(","),
                 DRAIN.as_millis(),
--- a/crates/policy/src/relay/memory.rs
+++ b/crates/policy/src/relay/memory.rs
@@ -19,6 +19,38 @@
 /// Bytes per second above which a reader is never cut off: it releases what it holds soon.
 const FAST_READ_RATE: f64 = 1_048_576.0;
 
+/// Size up to which a reply may use all of the memory for bodies.
+const ORDINARY_REPLY_BYTES: usize = 64 << 10;
+/// Share of the memory for bodies that other replies use at most, from 0 to 1: leaves room for ordinary
+/// ones.
+const LARGE_REPLY_SHARE: f64 = 0.5;
+
+/// The room that a reply may take up while it is received.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Allowance {
+    /// Share of the memory for bodies that may be in use, from 0 to 1.
+    pub share: f64,
+    /// Whether slow readers are cut off if that is not enough.
+    pub may_cut_readers: bool,
+}
+
+impl Allowance {
+    /// Returns the allowance of a reply of `bytes` so far. `unstated` is the number of replies that are
+    /// being received without a stated length, if it is one of them, and `limit` the memory for bodies.
+    ///
+    /// A reply without a stated length may have no end: beyond an equal part of the share of large
+    /// replies, no reader is cut off for it.
+    pub fn new(bytes: usize, unstated: Option<usize>, limit: usize) -> Allowance {
+        let equal_part =
+            |replies: usize| (limit as f64 * LARGE_REPLY_SHARE) as usize / replies.max(1);
+        if unstated.is_some_and(|replies| bytes > ORDINARY_REPLY_BYTES.min(equal_part(replies))) {
+            return Allowance { share: LARGE_REPLY_SHARE, may_cut_readers: false };
+        }
+        let share = if bytes > ORDINARY_REPLY_BYTES { LARGE_REPLY_SHARE } else { 1.0 };
+        Allowance { share, may_cut_readers: true }
+    }
+}
+
 /// A message that is being written to one end of a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Transfer {
--- a/crates/policy/tests/relay_memory.rs
+++ b/crates/policy/tests/relay_memory.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use policy::relay::memory::{Transfer, slowest};
+use policy::relay::memory::{Allowance, Transfer, slowest};
 
 const BUFFERED: usize = 128 << 10;
 
@@ -64,3 +64,28 @@
     assert_eq!(slowest(now, &all, 100), [] as [i32; 0]);
     assert_eq!(slowest(now, &all, 101), [1]);
 }
+
+/// A reply that may have no end would cut off callers that are reading, or many of them would
+/// together; an ordinary one would be refused because of callers that do not read.
+#[test]
+fn readers_are_cut_off_for_ordinary_replies_and_stated_lengths_only() {
+    const LIMIT: usize = 1 << 20;
+    const LARGE: usize = 100 << 10;
+    let check = |bytes, unstated, share, may_cut_readers| {
+        let allowance = Allowance::new(bytes, unstated, LIMIT);
+        assert_eq!(allowance, Allowance { share, may_cut_readers }, "{bytes} {unstated:?}");
+    };
+    check(1_000, None, 1.0, true);
+    check(LARGE, None, 0.5, true);
+    check(1_000, Some(1), 1.0, true);
+    check(64 << 10, Some(1), 1.0, true);
+    check(LARGE, Some(1), 0.5, false);
+    check(1_000, Some(100), 1.0, true);
+    check(10_000, Some(100), 0.5, false);
+    for replies in [1, 10, 100, 1_000] {
+        let with_cuts =
+            (0..LARGE).rfind(|b| Allowance::new(*b, Some(replies), LIMIT).may_cut_readers);
+        let most = with_cuts.unwrap_or_default() * replies;
+        assert!(most <= LIMIT / 2, "{replies} replies take {most} bytes from readers");
+    }
+}
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -46,9 +46,6 @@
 const MAX_REPLY_BYTES: usize = 8 << 20;
 /// Largest number of interim responses before a reply.
 const MAX_INTERIM_RESPONSES: usize = 16;
-/// Size up to which a body may use all of the memory for bodies. Larger ones share half of it, so
-/// that bodies that do not end leave room for ordinary ones.
-const ORDINARY_REPLY_BYTES: usize = 64 << 10;
 /// Longest time for which an idle connection is kept, whatever its upstream states.
 const MAX_IDLE_TIMEOUT: Duration = Duration::from_secs(3_600);
 /// Idle timeout of a connection if the upstream does not state one.
@@ -550,8 +547,9 @@
     node: &Node,
     mut body: Incoming,
 ) -> Result<(Bytes, Reservation), BodyError> {
+    let has_stated_length = hyper::body::Body::size_hint(&body).exact().is_some();
     let mut guard = BodyGuard { node, cause: "time" };
-    let mut reservation = node.body_memory.empty();
+    let mut reservation = node.body_memory.receive(has_stated_length);
     let mut first: Option<Bytes> = None;
     let mut rest = BytesMut::new();
     while let Some(frame) = body.frame().await {
@@ -565,8 +563,7 @@
             return Err(BodyError::TooLong);
         }
         guard.cause = "memory";
-        let share = if size > ORDINARY_REPLY_BYTES { 0.5 } else { 1.0 };
-        if !reservation.grow_within(node.now(), data.len(), share).await {
+        if !reservation.grow(node.now(), data.len()).await {
             return Err(BodyError::OutOfMemoryBudget);
         }
         guard.cause = "time";
@@ -582,5 +579,5 @@
     }
     guard.received();
     let body = if rest.is_empty() { first.unwrap_or_default() } else { rest.freeze() };
-    Ok((body, reservation))
+    Ok((body, reservation.received()))
 }
--- a/crates/relay/src/memory.rs
+++ b/crates/relay/src/memory.rs
@@ -15,7 +15,7 @@
 use base::hash::FastMap;
 use bytes::Bytes;
 use parking_lot::Mutex;
-use policy::relay::memory;
+use policy::relay::memory::{self, Allowance};
 use tokio::sync::Notify;
 
 use crate::stream::Flow;
@@ -35,6 +35,8 @@
 #[derive(Debug, Default)]
 struct Shared {
     reserved: AtomicUsize,
+    /// Replies without a stated length that are being received.
+    unstated_replies: AtomicUsize,
     /// Signals that bytes were released.
     released: Notify,
     /// Connections whose other end has to read before more can be written, by number.
@@ -76,6 +78,14 @@
         reservation.grow_within(now, bytes, 1.0).await.then_some(reservation)
     }
 
+    /// Begins to receive a reply, which may have stated its length.
+    pub fn receive(&self, has_stated_length: bool) -> ReplyReservation {
+        if !has_stated_length {
+            self.shared.unstated_replies.fetch_add(1, Ordering::Relaxed);
+        }
+        ReplyReservation { reservation: self.empty(), has_stated_length }
+    }
+
     /// Returns a reservation of no bytes.
     pub fn empty(&self) -> Reservation {
         Reservation { budget: self.clone(), bytes: 0 }
@@ -188,6 +198,43 @@
     }
 }
 
+/// Room for a reply that is being received.
+#[derive(Debug)]
+pub struct ReplyReservation {
+    reservation: Reservation,
+    has_stated_length: bool,
+}
+
+impl ReplyReservation {
+    /// Reserves `more` bytes at the time `now`, as far as [`Allowance`] permits. Returns whether there is
+    /// room for them.
+    pub async fn grow(&mut self, now: Instant, more: usize) -> bool {
+        let MemoryBudget { limit, shared } = &self.reservation.budget;
+        let replies = shared.unstated_replies.load(Ordering::Relaxed);
+        let unstated = (!self.has_stated_length).then_some(replies);
+        let allowance = Allowance::new(self.reservation.bytes + more, unstated, *limit);
+        match allowance.may_cut_readers {
+            true => self.reservation.grow_within(now, more, allowance.share).await,
+            false => self.reservation.try_grow_within(more, allowance.share),
+        }
+    }
+
+    /// Returns the reservation of the whole reply.
+    pub fn received(mut self) -> Reservation {
+        let empty = self.reservation.budget.empty();
+        std::mem::replace(&mut self.reservation, empty)
+    }
+}
+
+impl Drop for ReplyReservation {
+    fn drop(&mut self) {
+        if !self.has_stated_length {
+            let shared = &self.reservation.budget.shared;
+            shared.unstated_replies.fetch_sub(1, Ordering::Relaxed);
+        }
+    }
+}
+
 /// A body with its reservation.
 struct HeldBody {
     body: Bytes,
