Show that nodes of two programs run side by side

While a fleet is upgraded, nodes of the earlier and of the new program exchange heartbeats, limits, contacts and platform state. Nothing showed that they read each other.

--- a/crates/balsamgate/tests/fleet/mod.rs
+++ b/crates/balsamgate/tests/fleet/mod.rs
@@ -28,7 +28,7 @@
 pub(crate) const PEER_PORT: u16 = 7104;
 /// Port that nodes behind links listen on.
 const LINKED_PORT: u16 = 7106;
-const PROGRAM: &str = env!("CARGO_BIN_EXE_balsamgate");
+pub(crate) const PROGRAM: &str = env!("CARGO_BIN_EXE_balsamgate");
 /// Limit of [`eventually`]: many times what a node needs to be ready, or a fleet to converge, on a
 /// busy machine. No test measures a time by it.
 pub(crate) const WAIT_LIMIT: Duration = Duration::from_secs(20);
@@ -80,6 +80,11 @@
         self.child = Some(child.expect("the program starts"));
     }
 
+    /// Uses `program` from the next start on.
+    pub(crate) fn set_program(&mut self, program: PathBuf) {
+        self.program = program;
+    }
+
     /// Process id while the process runs.
     pub(crate) fn id(&self) -> Option<u32> {
         self.child.as_ref().map(Child::id)
