Measure the time without progress by one clock

A caller that read slowly past its deadline would be cut off at the first pause on a VM that had ever been suspended: the time since it last took bytes was the difference of two clocks, one of which counts suspensions. Both ends of that time are now read from the clock of the checks. The counter's help says what it counts.

--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -33,7 +33,7 @@
     pub replies_cut: IntCounterVec,
     /// Connections closed because the other end read too slowly, by cause and reader.
     pub slow_readers: IntCounterVec,
-    /// Connections that the system ended, by cause and by who the other end is.
+    /// Connections that failed, by cause and by who the other end is.
     pub connections_failed: IntCounterVec,
     /// Calls to the platform by result.
     pub platform_calls: IntCounterVec,
@@ -151,7 +151,7 @@
                 counters(&r, "slow_readers_total", help, &["cause", "reader"])
             },
             connections_failed: {
-                let help = "Connections that the system ended";
+                let help = "Connections that failed";
                 counters(&r, "connections_failed_total", help, &["cause", "reader"])
             },
             platform_calls: counters(&r, "platform_calls_total", "Platform calls", &["result"]),
--- a/crates/relay/src/socket.rs
+++ b/crates/relay/src/socket.rs
@@ -83,9 +83,9 @@
         self.tcp.peer_addr()
     }
 
-    /// Returns since when the other end has taken nothing for lack of room, as of the last check.
-    pub(crate) fn stalled_since(&self) -> Option<Instant> {
-        self.delivery.stalled_since()
+    /// Returns how long the other end has taken nothing for lack of room, as of the last check.
+    pub(crate) fn stalled_for(&self) -> Option<Duration> {
+        self.delivery.stalled_since().map(|since| now().saturating_duration_since(since))
     }
 
     /// Makes the system drop what it still holds for the other end when the stream is closed.
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -190,17 +190,14 @@
         if self.reader != Reader::Caller {
             return Ok(());
         }
-        let Some(since) = self.stream.stalled_since() else { return Ok(()) };
-        let now = self.node.now();
-        let is_stalled = now.saturating_duration_since(since) >= delivery::SILENCE_LIMIT;
-        match is_stalled && self.flow.transfer().due() <= now {
+        let is_stalled = self.stream.stalled_for().is_some_and(|t| t >= delivery::SILENCE_LIMIT);
+        match is_stalled && self.flow.transfer().due() <= self.node.now() {
             true => Err(self.close("late")),
             false => Ok(()),
         }
     }
 
-    /// Counts that the system has ended the connection, and logs it if the other end gave no sign of
-    /// life.
+    /// Counts that the connection has failed, and logs it if the other end gave no sign of life.
     fn record_failure(&self, error: &io::Error) {
         let node = &self.node;
         let cause = match error.kind() {
