--- /dev/null
+++ b/review/standin-2/node.rs
@@ -0,0 +1,158 @@
+//! Processes of the project's program, started with the command of the deploy file.
+
+use std::{
+    fs::File,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    time::{Duration, Instant},
+};
+
+use crate::client;
+
+/// Settings of a deployment that its nodes share, as the platform fills them into the template.
+#[derive(Debug, Clone)]
+pub struct Deployment {
+    pub store: SocketAddr,
+    pub seeds: Vec<String>,
+    /// Ports of the callers', readiness, directory and peers' listeners, the same on all machines.
+    pub ports: [u16; 4],
+    pub drain_ms: u64,
+    pub contact_ms: u64,
+    pub grace_s: String,
+    pub cores: f64,
+    pub memory_mb: u64,
+}
+
+impl Deployment {
+    /// Bounds and limits of the site file `bz-ostion`, for machines at `ips`.
+    pub fn new(store: SocketAddr, ips: &[String]) -> std::io::Result<Deployment> {
+        let mut ports = [0; 4];
+        let mut held = Vec::new();
+        for port in &mut ports {
+            // A port that is free at all addresses.
+            let listener = std::net::TcpListener::bind(("0.0.0.0", 0))?;
+            *port = listener.local_addr()?.port();
+            held.push(listener);
+        }
+        let seeds = ips.iter().take(3).map(|ip| format!("{ip}:{}", ports[3])).collect();
+        Ok(Deployment {
+            store,
+            seeds,
+            ports,
+            drain_ms: 3000,
+            contact_ms: 4000,
+            grace_s: "6".to_owned(),
+            cores: 0.17,
+            memory_mb: 182,
+        })
+    }
+
+    fn settings(&self, ip: &str, zone: &str) -> String {
+        let [callers, ready, directory, peers] = self.ports;
+        let Deployment { store, drain_ms, contact_ms, grace_s, cores, memory_mb, .. } = self;
+        let seeds = self.seeds.join(",");
+        format!(
+            "[node]\ndeployment = main\nfailure_domain = {zone}\ncores = {cores}\n\
+             memory = {memory_mb}\n[listen]\ncallers = {ip}:{callers}\nready = {ip}:{ready}\n\
+             directory = {ip}:{directory}\npeers = {ip}:{peers}\n[fleet]\nseeds = {seeds}\n\
+             [platform]\naddress = {store}\nrenewal = 1200 ms\n[bounds]\napply = 3000 ms\n\
+             drain = {drain_ms} ms\ncontact = {contact_ms} ms\ngrace = {grace_s} s\n[extra]\n\
+             ratio = 0.2\nslack = 126\nwindow = 10 s\n[regions]\nkino = golfo-norte\n\
+             tastiota = golfo-norte\nguaymas = golfo-norte\n"
+        )
+    }
+}
+
+#[derive(Debug)]
+pub struct Node {
+    pub name: String,
+    pub ip: String,
+    ports: [u16; 4],
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+impl Node {
+    pub fn start(
+        folder: &Path,
+        deployment: &Deployment,
+        name: &str,
+        ip: &str,
+        zone: &str,
+    ) -> std::io::Result<Node> {
+        let settings = folder.join(format!("{name}.ini"));
+        std::fs::write(&settings, deployment.settings(ip, zone))?;
+        let log = folder.join(format!("{name}.log"));
+        let (name, ip) = (name.to_owned(), ip.to_owned());
+        let mut node = Node { name, ip, ports: deployment.ports, settings, log, child: None };
+        node.run()?;
+        Ok(node)
+    }
+
+    /// Starts the process.
+    pub fn run(&mut self) -> std::io::Result<()> {
+        let log = File::options().append(true).create(true).open(&self.log)?;
+        let child = Command::new("target/release/balsamgate")
+            .args(["relay", "--settings"])
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    pub fn pid(&self) -> u32 {
+        self.child.as_ref().map_or(0, Child::id)
+    }
+
+    pub fn callers(&self) -> String {
+        format!("{}:{}", self.ip, self.ports[0])
+    }
+
+    /// Waits until the node says that it is ready.
+    pub fn wait_ready(&self, limit: Duration) -> bool {
+        let start = Instant::now();
+        let address = format!("{}:{}", self.ip, self.ports[1]);
+        while start.elapsed() < limit {
+            let answer =
+                client::send(&address, "GET", "/api/ready", &[], b"", Duration::from_secs(1));
+            if answer.is_ok_and(|a| a.status() == 200) {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        false
+    }
+
+    pub fn signal(&self, name: &str) {
+        if let Some(child) = &self.child {
+            let _ = Command::new("kill").args([name, &child.id().to_string()]).status();
+        }
+    }
+
+    /// Returns the exit of the process if it has ended.
+    pub fn ended(&mut self) -> Option<std::process::ExitStatus> {
+        self.child.as_mut()?.try_wait().ok()?
+    }
+
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    pub fn log_text(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
