--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -5,8 +5,10 @@
 //! out.
 
 mod case_drain;
+mod case_partition;
 mod client;
 mod http;
+mod links;
 mod node;
 mod record;
 mod server;
@@ -41,6 +43,7 @@
     };
     let case: Case = match name.as_str() {
         "drain" => case_drain::run,
+        "partition" => case_partition::run,
         _ => {
             eprintln!("unknown case {name}");
             return ExitCode::from(2);
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -12,7 +12,7 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
-use crate::{http, record::Record, store::Store};
+use crate::{http, links::Links, record::Record, store::Store};
 
 /// What a server does with requests.
 #[derive(Debug, Clone)]
@@ -51,6 +51,7 @@
     work: Work,
     store: Store,
     record: Record,
+    links: Links,
     born: u128,
     slots: (Mutex<Slots>, Condvar),
     connections: Mutex<Vec<TcpStream>>,
@@ -74,6 +75,19 @@
         work: Work,
         store: &Store,
         record: &Record,
+    ) -> std::io::Result<Arc<Server>> {
+        Server::start_behind(&Links::default(), id, service, zone, work, store, record)
+    }
+
+    /// Starts a server whose connections are `links`.
+    pub fn start_behind(
+        links: &Links,
+        id: &str,
+        service: &str,
+        zone: &str,
+        work: Work,
+        store: &Store,
+        record: &Record,
     ) -> std::io::Result<Arc<Server>> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let born = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis());
@@ -85,6 +99,7 @@
             work,
             store: store.clone(),
             record: record.clone(),
+            links: links.clone(),
             born,
             slots: Default::default(),
             connections: Mutex::default(),
@@ -136,6 +151,9 @@
 
     fn serve(self: Arc<Server>, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
+        if self.links.add(&stream) {
+            return;
+        }
         if self.open.fetch_add(1, Ordering::SeqCst) < self.work.max_conns {
             if let Ok(copy) = stream.try_clone() {
                 lock(&self.connections).push(copy);
