Review: case 8, a restarted node sends requests to a server that left more than drain-ms ago

Shown with a script: two processes are killed one after the other while a server leaves without notice.

--- a/review/standin-2/case_drain.rs
+++ b/review/standin-2/case_drain.rs
@@ -29,7 +29,7 @@
         r#"{"version":1,"routes":[{"name":"r-desk","host":"desk.example","prefix":"/desk/","type":"unsafe","timeout-ms":8000,"goal-ms":500,"priority":1,"service":"desk","max-attempts":2}],"services":[{"name":"desk","health-path":"/health","max-conns":12}],"limits":{"max-header-bytes":16384,"max-body-bytes":262144,"header-timeout-ms":3000,"idle-timeout-ms":15000}}"#,
     );
     let work =
-        Work { slots: 3, queue: 9, max_conns: 12, time: Duration::from_millis(200) };
+        Work { slots: 3, queue: 9, max_conns: 12, time: Duration::from_millis(200), long: Duration::from_millis(200) };
     let start = |id: &str, zone: &str| Server::start(id, "desk", zone, work.clone(), &store, record);
     let old = start("i-old", "kino")?;
     let other = start("i-other", "tastiota")?;
--- a/review/standin-2/case_partition.rs
+++ b/review/standin-2/case_partition.rs
@@ -40,7 +40,7 @@
         r#"{"version":1,"routes":[{"name":"r-permits","host":"permits.example","prefix":"/permits/","type":"unsafe","timeout-ms":4000,"goal-ms":600,"priority":2,"service":"permisos","max-attempts":2}],"services":[{"name":"permisos","health-path":"/health","max-conns":90}],"limits":{"max-header-bytes":16384,"max-body-bytes":262144,"header-timeout-ms":3000,"idle-timeout-ms":15000}}"#,
     );
     let links = Links::default();
-    let work = Work { slots: 3, queue: 12, max_conns: 90, time: Duration::from_millis(160) };
+    let work = Work { slots: 3, queue: 12, max_conns: 90, time: Duration::from_millis(160), long: Duration::from_millis(160) };
     let zones = ["kino", "tastiota", "guaymas"];
     let mut servers = Vec::new();
     for n in 0..SERVERS {
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -6,6 +6,7 @@
 
 mod case_drain;
 mod case_partition;
+mod case_restart;
 mod client;
 mod http;
 mod links;
@@ -44,6 +45,7 @@
     let case: Case = match name.as_str() {
         "drain" => case_drain::run,
         "partition" => case_partition::run,
+        "restart" => case_restart::run,
         _ => {
             eprintln!("unknown case {name}");
             return ExitCode::from(2);
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -22,6 +22,8 @@
     pub queue: usize,
     pub max_conns: usize,
     pub time: Duration,
+    /// Time of every second request, as the work of requests differs.
+    pub long: Duration,
 }
 
 /// One request that arrived.
@@ -132,6 +134,12 @@
         self.record.line(format!("store has acknowledged: server {id} ({service}) is {state}"));
     }
 
+    /// Removes the entry, as of a server that leaves without having reported that it drains.
+    pub fn unregister(&self) {
+        self.store.remove(&format!("servers/{}", self.id));
+        self.record.line(format!("store has acknowledged: the entry of {} is removed", self.id));
+    }
+
     /// Ends the server: its entry is removed and its connections are closed.
     pub fn end(&self) {
         self.ended.store(true, Ordering::SeqCst);
@@ -198,7 +206,8 @@
             return http::write(stream, "HTTP/1.1 503 Service Unavailable", &headers, b"").is_ok();
         }
         lock(&self.arrivals)[index].ran = true;
-        let end = (Instant::now() + self.work.time).min(deadline);
+        let time = if index % 2 == 0 { self.work.time } else { self.work.long };
+        let end = (Instant::now() + time).min(deadline);
         thread::sleep(end.saturating_duration_since(Instant::now()));
         lock(&self.slots.0).running -= 1;
         self.slots.1.notify_all();
