--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -7,6 +7,7 @@
 mod case_drain;
 mod case_partition;
 mod case_restart;
+mod case_settings;
 mod client;
 mod http;
 mod links;
@@ -46,6 +47,7 @@
         "drain" => case_drain::run,
         "partition" => case_partition::run,
         "restart" => case_restart::run,
+        "settings" => case_settings::run,
         _ => {
             eprintln!("unknown case {name}");
             return ExitCode::from(2);
--- a/review/standin-2/node.rs
+++ b/review/standin-2/node.rs
@@ -69,6 +69,7 @@
     pub name: String,
     pub ip: String,
     ports: [u16; 4],
+    zone: String,
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
@@ -83,14 +84,22 @@
         zone: &str,
     ) -> std::io::Result<Node> {
         let settings = folder.join(format!("{name}.ini"));
-        std::fs::write(&settings, deployment.settings(ip, zone))?;
         let log = folder.join(format!("{name}.log"));
-        let (name, ip) = (name.to_owned(), ip.to_owned());
-        let mut node = Node { name, ip, ports: deployment.ports, settings, log, child: None };
+        let (name, ip, zone) = (name.to_owned(), ip.to_owned(), zone.to_owned());
+        let ports = deployment.ports;
+        let mut node = Node { name, ip, ports, zone, settings, log, child: None };
+        node.write_settings(deployment)?;
         node.run()?;
         Ok(node)
     }
 
+    /// Writes the settings file anew.
+    pub fn write_settings(&self, deployment: &Deployment) -> std::io::Result<()> {
+        let temporary = self.settings.with_extension("new");
+        std::fs::write(&temporary, deployment.settings(&self.ip, &self.zone))?;
+        std::fs::rename(&temporary, &self.settings)
+    }
+
     /// Starts the process.
     pub fn run(&mut self) -> std::io::Result<()> {
         let log = File::options().append(true).create(true).open(&self.log)?;
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -16,8 +16,8 @@
     /// All writes: revision, key, and value unless it was removed.
     writes: Vec<(u64, String, Option<Vec<u8>>)>,
     revision: u64,
-    /// Whether calls get no answer.
-    is_silent: bool,
+    /// Number of the address that is in force.
+    place: u32,
 }
 
 #[derive(Debug, Clone)]
@@ -46,14 +46,38 @@
         let state = State { revision: 1, ..State::default() };
         let state = Arc::new((Mutex::new(state), Condvar::new()));
         let store = Store { state, address: listener.local_addr()? };
-        let server = store.clone();
+        store.listen(listener, 0);
+        Ok(store)
+    }
+
+    /// Moves the store to a new address. It keeps what it holds, and the old address refuses
+    /// connections.
+    pub fn move_to(&self, ip: &str) -> std::io::Result<Store> {
+        let listener = TcpListener::bind((ip, 0))?;
+        let moved = Store { state: self.state.clone(), address: listener.local_addr()? };
+        let place = {
+            let mut state = self.lock();
+            state.place += 1;
+            state.place
+        };
+        self.state.1.notify_all();
+        // Wakes the old acceptor, which then closes its listener.
+        let _ = TcpStream::connect(self.address);
+        moved.listen(listener, place);
+        Ok(moved)
+    }
+
+    fn listen(&self, listener: TcpListener, place: u32) {
+        let server = self.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if server.lock().place != place {
+                    return;
+                }
                 let server = server.clone();
-                thread::spawn(move || server.serve(stream));
+                thread::spawn(move || server.serve(stream, place));
             }
         });
-        Ok(store)
     }
 
     pub fn address(&self) -> SocketAddr {
@@ -72,12 +96,6 @@
         self.write(key, None);
     }
 
-    /// Sets whether calls get no answer, those that wait included.
-    pub fn set_silent(&self, is_silent: bool) {
-        self.lock().is_silent = is_silent;
-        self.state.1.notify_all();
-    }
-
     fn write(&self, key: &str, value: Option<Vec<u8>>) {
         let mut state = self.lock();
         state.revision += 1;
@@ -90,7 +108,7 @@
         self.state.1.notify_all();
     }
 
-    fn serve(&self, mut stream: TcpStream) {
+    fn serve(&self, mut stream: TcpStream, place: u32) {
         let _ = stream.set_nodelay(true);
         let mut buffer = Vec::new();
         while let Ok(Some(request)) = http::read(&mut stream, &mut buffer) {
@@ -103,16 +121,12 @@
                 "/api/kv-watch" => {
                     let number = |name| request.parameter(name).and_then(|v| v.parse().ok());
                     let wait = Duration::from_millis(number("wait-ms").unwrap_or(0));
-                    self.watch(&prefix, number("after").unwrap_or(0), wait)
+                    self.watch(&prefix, number("after").unwrap_or(0), wait, place)
                 }
                 _ => "{}".to_owned(),
             };
-            while self.lock().is_silent {
-                // A connection on which an answer was lost returns nothing further.
-                thread::sleep(Duration::from_millis(200));
-                if !self.lock().is_silent {
-                    return;
-                }
+            if self.lock().place != place {
+                return;
             }
             let status = if path.starts_with("/api/kv-") { "200 OK" } else { "404 Not Found" };
             let headers = [("Content-Type", "application/json"), ("Store-Era", "1")];
@@ -138,7 +152,7 @@
         format!(r#"{{"items":[{items}],"has-more":{more},"store-revision":{revision}}}"#)
     }
 
-    fn watch(&self, prefix: &str, after: u64, wait: Duration) -> String {
+    fn watch(&self, prefix: &str, after: u64, wait: Duration, place: u32) -> String {
         let deadline = Instant::now() + wait;
         let mut state = self.lock();
         loop {
@@ -156,7 +170,7 @@
             };
             let events: Vec<String> = state.writes.iter().filter(new).map(event).collect();
             let left = deadline.saturating_duration_since(Instant::now());
-            if !events.is_empty() || left.is_zero() {
+            if !events.is_empty() || left.is_zero() || state.place != place {
                 let (events, revision) = (events.join(","), state.revision);
                 return format!(r#"{{"events":[{events}],"store-revision":{revision}}}"#);
             }
