--- a/review/standin-2/case_restart.rs
+++ b/review/standin-2/case_restart.rs
@@ -24,7 +24,7 @@
 const DEADLINE: Duration = Duration::from_secs(4);
 
 pub fn run(setup: &Setup) -> Result<bool, Error> {
-    let Setup { record, folder, has_trouble } = setup;
+    let Setup { record, folder, .. } = setup;
     let store = Store::start("127.0.0.1")?;
     store.put(
         "op/config",
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -5,6 +5,7 @@
 //! out.
 
 mod case_drain;
+mod case_fraction;
 mod case_partition;
 mod case_restart;
 mod case_settings;
@@ -45,6 +46,7 @@
     };
     let case: Case = match name.as_str() {
         "drain" => case_drain::run,
+        "fraction" => case_fraction::run,
         "partition" => case_partition::run,
         "restart" => case_restart::run,
         "settings" => case_settings::run,
