--- a/review/standin-2/links.rs
+++ b/review/standin-2/links.rs
@@ -17,6 +17,15 @@
 
 extern "C" {
     fn connect(socket: c_int, address: *const Unspecified, length: u32) -> c_int;
+    fn setsockopt(socket: c_int, level: c_int, name: c_int, value: *const c_int, length: u32) -> c_int;
+}
+
+/// Sets the size of a connection's receive buffer.
+pub fn set_receive_buffer(stream: &TcpStream, bytes: c_int) {
+    const SOL_SOCKET: c_int = 1;
+    const SO_RCVBUF: c_int = 8;
+    // SAFETY: the descriptor is open, and the value has the stated length.
+    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_RCVBUF, &bytes, 4) };
 }
 
 /// Resets a connection.
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -4,7 +4,7 @@
 //! was broken, 0 if it held, and 2 if the case could not run. With `TROUBLE=0` it leaves the disruption
 //! out.
 
-mod case_drain;
+mod case_endless;
 mod case_fraction;
 mod case_partition;
 mod case_restart;
@@ -45,7 +45,7 @@
         return ExitCode::from(2);
     };
     let case: Case = match name.as_str() {
-        "drain" => case_drain::run,
+        "endless" => case_endless::run,
         "fraction" => case_fraction::run,
         "partition" => case_partition::run,
         "restart" => case_restart::run,
--- a/review/standin-2/node.rs
+++ b/review/standin-2/node.rs
@@ -55,7 +55,7 @@
         format!(
             "[node]\ndeployment = main\nfailure_domain = {zone}\ncores = {cores}\n\
              memory = {memory_mb}\n[listen]\ncallers = {ip}:{callers}\nready = {ip}:{ready}\n\
-             directory = {ip}:{directory}\npeers = {ip}:{peers}\n[fleet]\nseeds = {seeds}\n\
+             directory = {ip}:{directory}\npeers = {ip}:{peers}\nmetrics = {ip}:9464\n[fleet]\nseeds = {seeds}\n\
              [platform]\naddress = {store}\nrenewal = 1200 ms\n[bounds]\napply = 3000 ms\n\
              drain = {drain_ms} ms\ncontact = {contact_ms} ms\ngrace = {grace_s} s\n[extra]\n\
              ratio = 0.2\nslack = 126\nwindow = 10 s\n[regions]\nkino = golfo-norte\n\
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -59,8 +59,6 @@
     connections: Mutex<Vec<TcpStream>>,
     open: AtomicUsize,
     ended: AtomicBool,
-    /// Whether it says in its answers that it leaves.
-    pub leaving: AtomicBool,
     arrivals: Mutex<Vec<Arrival>>,
 }
 
@@ -107,7 +105,6 @@
             connections: Mutex::default(),
             open: AtomicUsize::new(0),
             ended: AtomicBool::new(false),
-            leaving: AtomicBool::new(false),
             arrivals: Mutex::default(),
         });
         server.register("ready");
@@ -197,9 +194,6 @@
         let deadline = at + Duration::from_millis(left);
         self.record.line(format!("server {} gets {id}, {left} ms left", self.id));
         let mut headers = vec![("Request-Id", id.as_str()), ("Keep-Alive", "timeout=10")];
-        if self.leaving.load(Ordering::SeqCst) {
-            headers.push(("Server-Leaving", "1"));
-        }
         if !self.take_slot(deadline) {
             self.record.line(format!("server {} turns {id} away, not run", self.id));
             headers.push(("Not-Executed", "1"));
@@ -218,7 +212,11 @@
         let stamp = format!("{}.{index}", self.id);
         headers.push(("Server-Stamp", &stamp));
         let status = if end < deadline { "200 OK" } else { "504 Gateway Timeout" };
-        let written = http::write(stream, &format!("HTTP/1.1 {status}"), &headers, id.as_bytes());
+        // A path that ends with a number asks for so many bytes.
+        let path = request.target().1;
+        let size = path.strip_prefix("/sheets/").and_then(|n| n.parse::<usize>().ok());
+        let body = size.map_or_else(|| id.clone().into_bytes(), |size| vec![b'x'; size]);
+        let written = http::write(stream, &format!("HTTP/1.1 {status}"), &headers, &body);
         lock(&self.arrivals)[index].answered = written.is_ok();
         self.record.line(format!("server {} has run {id}: {status}", self.id));
         written.is_ok()
