--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# CONFIG: the settings name another address of the store, and the operator changes the configuration.
+# DRAIN: a server leaves without notice while a restarted node relies on a peer that is then lost.
 cd "$(dirname "$0")/../.."
-exec target/review-2/case-2 settings review/9
+exec target/review-2/case-2 restart review/9
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -5,7 +5,7 @@
 //! out.
 
 mod case_endless;
-mod case_fraction;
+mod case_entry;
 mod case_partition;
 mod case_restart;
 mod case_settings;
@@ -46,7 +46,7 @@
     };
     let case: Case = match name.as_str() {
         "endless" => case_endless::run,
-        "fraction" => case_fraction::run,
+        "entry" => case_entry::run,
         "partition" => case_partition::run,
         "restart" => case_restart::run,
         "settings" => case_settings::run,
--- a/review/standin-2/node.rs
+++ b/review/standin-2/node.rs
@@ -143,11 +143,6 @@
         }
     }
 
-    /// Returns the exit of the process if it has ended.
-    pub fn ended(&mut self) -> Option<std::process::ExitStatus> {
-        self.child.as_mut()?.try_wait().ok()?
-    }
-
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
