--- a/review/standin-2/node.rs
+++ b/review/standin-2/node.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs::File,
-    net::SocketAddr,
+    net::{SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     time::{Duration, Instant},
@@ -30,10 +30,7 @@
         let mut ports = [0; 4];
         let mut held = Vec::new();
         for port in &mut ports {
-            // A port that is free at all addresses.
-            let listener = std::net::TcpListener::bind(("0.0.0.0", 0))?;
-            *port = listener.local_addr()?.port();
-            held.push(listener);
+            *port = free_port(ips, &mut held)?;
         }
         let seeds = ips.iter().take(3).map(|ip| format!("{ip}:{}", ports[3])).collect();
         Ok(Deployment {
@@ -64,6 +61,26 @@
     }
 }
 
+/// Returns a port that is free at all of `ips`. It is kept from other programs while `held` lasts.
+fn free_port(ips: &[String], held: &mut Vec<TcpListener>) -> std::io::Result<u16> {
+    const TRIES: usize = 100;
+    let mut failure = std::io::ErrorKind::AddrNotAvailable.into();
+    for _ in 0..TRIES {
+        let first = TcpListener::bind(("127.0.0.1", 0))?;
+        let port = first.local_addr()?.port();
+        let others = ips.iter().map(|ip| TcpListener::bind((ip.as_str(), port)));
+        match others.collect::<std::io::Result<Vec<_>>>() {
+            Ok(others) => {
+                held.push(first);
+                held.extend(others);
+                return Ok(port);
+            }
+            Err(e) => failure = e,
+        }
+    }
+    Err(failure)
+}
+
 #[derive(Debug)]
 pub struct Node {
     pub name: String,
